--- /dev/null
+++ b/src/main/java/sprucelanding/Choice.java
@@ -0,0 +1,762 @@
+package sprucelanding;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Decides what one governor tells its proxies. The host opens it with what the site states (the constructor,
+ * then roll, channel, warming, reports and admission, once each), calls clock, then the inputs (listed, met,
+ * probed, came, joined, left, bell, ...), which only note what is known, and then decide until it says false;
+ * each call gives one order. What it can order stands in Orders; the facts it keeps, in Replica, Proxy and
+ * Product. Weights follow docs/design.md: halfway steps to inverse-load weights, zeroing past a threshold,
+ * removals first and then the largest changes, within what the channel drains. Times are ms.
+ */
+public final class Choice {
+    public enum Stage { READY, DRAINING, GONE }
+
+    public enum Answer { OK, BUSY, ERROR, SILENT, UNREACHABLE, NONE }
+
+    public enum Admission { SHARE, RATE, NONE }
+
+    private static final int TURN_BELL = 1;
+    private static final int DUE_BELL = 2;
+
+    /** A cycle: weights move once in it. */
+    private static final double TURN = 1000;
+    /** How long busy time and tries count, so that a weight rests on some dozens of them. */
+    private static final double MEMORY = 6000;
+    /** Memory for health and for the load that zeroing goes by: shorter, for trouble must show at once. */
+    private static final double SHORT_MEMORY = 2500;
+    /** Of an average replica's evidence: how much the listed weight counts for as well. */
+    private static final double PRIOR = 0.3;
+    private static final double SCALE = 100;
+    private static final double LEAST_LOAD = 0.05;
+    private static final double USUAL_LOAD = 0.5;
+    private static final double ZERO_PAST = 0.8;
+    /** A replica is zeroed for load only if it stands this far above the rest. */
+    private static final double ABOVE_REST = 1.5;
+    private static final double SLOW_START = 0.1;
+    private static final double GROWTH = 1.5;
+    private static final double CHANGE = 0.1;
+
+    // ---- what the site states
+
+    private final SplittableRandom chance;
+    private final Product[] products;
+    private final List<Table> tables = new ArrayList<>();
+    private boolean pushed;
+    private double askEvery;
+    private double coldFrom;
+    private double warmAfter;
+    private boolean probes;
+    private double reportEvery;
+    private Admission admission = Admission.NONE;
+    private Channel channel;
+
+    // ---- what is known
+
+    private double now;
+    private final Map<Long, Replica> replicas = new LinkedHashMap<>();
+    private final List<Replica> roll = new ArrayList<>();
+    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+    private final ArrayDeque<String> notes = new ArrayDeque<>();
+    private final TreeSet<Due> due = new TreeSet<>();
+    private long dueCount;
+    private double dueBell = Double.POSITIVE_INFINITY;
+    private boolean turnDue = true;
+    private boolean ordinary;
+    private boolean whole;
+    private boolean cached;
+    private final List<Replica> named = new ArrayList<>();
+    private double pressure;
+    private boolean shedding;
+    private double admitted = 1;
+
+    /** One due time: to probe a replica, or (without one) to ask for the list. */
+    private record Due(double at, long order, Replica replica) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Double.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** A table's line: the weight it has come to and the one last ordered. */
+    private static final class Row {
+        final Replica replica;
+        double weight;
+        double sent;
+
+        Row(Replica replica, double weight) {
+            this.replica = replica;
+            this.weight = weight;
+        }
+    }
+
+    /** One shared table; products that are open to the same replicas have it in common. */
+    private static final class Table {
+        final int number;
+        final Product first;
+        final int home;
+        int mask;
+        final Map<Replica, Row> rows = new LinkedHashMap<>();
+        final double[] letIn;
+
+        Table(int number, Product first, int home, int products) {
+            this.number = number;
+            this.first = first;
+            this.home = home;
+            this.letIn = new double[products];
+            java.util.Arrays.fill(letIn, -1);
+        }
+
+        boolean open(Replica r) {
+            return (first.kinds >> r.kind & 1) == 1 && (first.zones >> r.zone & 1) == 1
+                    && (home < 0 || home == r.zone);
+        }
+
+        boolean serves(Proxy proxy) {
+            return home < 0 || home == proxy.zone;
+        }
+    }
+
+    public Choice(SplittableRandom chance, Product[] products) {
+        this.chance = chance;
+        this.products = products;
+    }
+
+    public void roll(boolean pushed, double askEvery) {
+        this.pushed = pushed;
+        this.askEvery = askEvery;
+        if (!pushed) {
+            dueAt(Double.NEGATIVE_INFINITY, null);
+        }
+    }
+
+    public void channel(double linesPerMs, double head, double queueCap, int messageCap, double messageSpan) {
+        channel = new Channel(linesPerMs, head, queueCap, messageCap, messageSpan);
+    }
+
+    public void warming(double coldFrom, double warmAfter) {
+        this.coldFrom = coldFrom;
+        this.warmAfter = warmAfter;
+    }
+
+    public void reports(boolean withAnswers, boolean probes, double every) {
+        this.probes = probes;
+        this.reportEvery = every;
+    }
+
+    public void admission(Admission admission) {
+        this.admission = admission;
+    }
+
+    // ---- inputs: they only note what is known
+
+    public void clock(double now) {
+        this.now = now;
+    }
+
+    public void bell(int tag) {
+        if (tag == TURN_BELL) {
+            turnDue = true;
+        } else {
+            dueBell = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    public void listOpens(boolean whole, boolean cached) {
+        this.whole = whole;
+        this.cached = cached;
+        named.clear();
+    }
+
+    public void listed(long id, int zone, int kind, double weight, double startedAt, Stage stage) {
+        Replica r = replicas.computeIfAbsent(id, Replica::new);
+        boolean restarted = r.stage != Stage.GONE && startedAt > r.startedAt;
+        boolean back = r.stage != Stage.READY && stage == Stage.READY;
+        r.zone = zone;
+        r.kind = kind;
+        r.listedWeight = weight > 0 ? weight : 1;
+        r.startedAt = startedAt;
+        r.stage = stage;
+        named.add(r);
+        if (stage == Stage.READY && (restarted || back)) {
+            enters(r, restarted);
+        } else if (stage == Stage.GONE) {
+            roll.remove(r);
+        }
+    }
+
+    /** A replica joins the roll, or starts anew on it: what was known of it is of an earlier life. */
+    private void enters(Replica r, boolean restarted) {
+        if (!roll.contains(r)) {
+            roll.add(r);
+        }
+        r.busyTime = r.settled = r.tries = r.voided = r.steadyLoad = r.load = 0;
+        r.heardAt = Double.NEGATIVE_INFINITY;
+        r.unanswered = 0;
+        r.silent = r.failing = r.overloaded = false;
+        r.deafUntil = restarted ? now + 2 * reportEvery : 0;
+        for (Table t : tables()) {
+            if (t.open(r)) {
+                Row row = t.rows.computeIfAbsent(r, x -> new Row(x, 0));
+                row.weight = cached && !young(r) ? listedShare(r, t) : start(t);
+            }
+        }
+        if (probes && !r.probing) {
+            r.probing = true;
+            dueAt(now + chance.nextDouble() * TURN, r);
+        }
+    }
+
+    public void listCloses() {
+        if (whole) {
+            for (Replica r : new ArrayList<>(roll)) {
+                if (!named.contains(r)) {
+                    r.stage = Stage.GONE;
+                    roll.remove(r);
+                }
+            }
+        }
+        if (cached) {
+            for (Table t : tables()) {
+                for (Row row : t.rows.values()) {
+                    row.weight = listedShare(row.replica, t) * (young(row.replica) ? coldShare(row.replica) : 1);
+                }
+            }
+        }
+        cached = false;
+    }
+
+    public void listFailed() {
+        if (!pushed) {
+            dueAt(now + TURN * (0.3 + chance.nextDouble()), null);
+        }
+    }
+
+    public void probed(long id, Answer answer, double load) {
+        Replica r = replicas.get(id);
+        if (r == null) {
+            return;
+        }
+        r.probing = false;
+        switch (answer) {
+            case OK -> {
+                r.unanswered = 0;
+                r.answered++;
+            }
+            case UNREACHABLE -> missed(r, 2);
+            case SILENT, ERROR -> missed(r, 1);
+            default -> {
+                // busy or draining: it lives
+            }
+        }
+        reported(r, load);
+        if (r.silent && r.answered >= 2) {
+            r.silent = false;
+            comesBack(r, "answers");
+        }
+        if (r.stage == Stage.READY) {
+            r.probing = true;
+            dueAt(now + (r.unanswered > 0 && !r.silent ? TURN / 4 : probePace()), r);
+        }
+    }
+
+    private void missed(Replica r, int weight) {
+        r.answered = 0;
+        r.unanswered += weight;
+        if (r.unanswered >= 4 && !r.silent && mayLeave(r, 1)) {
+            r.silent = true;
+            note("out " + r.id + ": no answer to probes");
+        }
+    }
+
+    private void reported(Replica r, double load) {
+        if (load >= 0) {
+            r.load = Math.min(load, 1);
+            r.heardAt = now;
+        }
+    }
+
+    public void met(long id, int zone, int tries, int voided, double answerTime, double span, double load) {
+        Replica r = replicas.get(id);
+        if (r == null || tries <= 0 || now < r.deafUntil) {
+            return;
+        }
+        int bad = Math.max(0, Math.min(voided, tries));
+        r.settled += tries - bad;
+        r.tries += tries;
+        r.voided += bad;
+        reported(r, load);
+    }
+
+    public void came(int proxy, int product, int count, int unanswered, double span) {
+        Proxy p = proxies.get(proxy);
+        if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
+            double rate = count / span * 1000;
+            p.demand[product] += (rate - p.demand[product]) * 0.5;
+        }
+    }
+
+    public void joined(int id, int zone, double usual, boolean bare) {
+        Proxy p = new Proxy(id, zone, products.length);
+        for (int k = 0; k < products.length; k++) {
+            p.demand[k] = Math.max(0, usual) / products.length;
+        }
+        proxies.put(id, p);
+    }
+
+    public void left(int id) {
+        proxies.remove(id);
+    }
+
+    public void peerSaid(int from, byte[] note) {
+        // peers are not asked for anything yet
+    }
+
+    // ---- decisions
+
+    /** Gives the next order, if there is one. */
+    public boolean decide(Orders orders) {
+        if (turnDue) {
+            turnDue = false;
+            turn();
+            ordinary = true;
+            orders.timer(TURN_BELL, now + TURN);
+            return true;
+        }
+        if (!notes.isEmpty()) {
+            orders.log(notes.poll());
+            return true;
+        }
+        if (dues(orders) || lines(orders) || binds(orders) || levels(orders)) {
+            return true;
+        }
+        ordinary = false;
+        if (!due.isEmpty() && due.first().at < dueBell) {
+            dueBell = due.first().at;
+            orders.timer(DUE_BELL, dueBell);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean dues(Orders orders) {
+        while (!due.isEmpty() && due.first().at <= now) {
+            Replica r = due.pollFirst().replica;
+            if (r == null) {
+                orders.watchList();
+                return true;
+            }
+            if (r.stage == Stage.READY) {
+                orders.probe(r);
+                return true;
+            }
+            r.probing = false;
+        }
+        return false;
+    }
+
+    /** The next line to order: removals first, then cuts to a restarted one, then the largest change. */
+    private boolean lines(Orders orders) {
+        Table table = null;
+        Row next = null;
+        double most = 0;
+        for (Table t : tables()) {
+            for (Row row : t.rows.values()) {
+                double want = want(row);
+                if (want == row.sent) {
+                    continue;
+                }
+                boolean must = row.sent > 0 && row.replica.stage != Stage.READY;
+                boolean urgent = must || row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent);
+                double change = Math.abs(want - row.sent) / Math.max(want, row.sent);
+                double rank = must ? 4 : urgent ? 3 : change;
+                if ((urgent || ordinary && change >= CHANGE || empty(t)) && rank > most
+                        && channel.admits(audience(t), 1, now, must ? 1 : urgent ? 0.75 : 0.5)) {
+                    table = t;
+                    next = row;
+                    most = rank;
+                }
+            }
+        }
+        if (next == null) {
+            return false;
+        }
+        channel.book(audience(table), 1, now);
+        next.sent = want(next);
+        orders.line(table.number, next.replica, next.sent);
+        if (next.sent == 0 && next.replica.stage == Stage.GONE) {
+            table.rows.remove(next.replica);
+        }
+        return true;
+    }
+
+    private boolean binds(Orders orders) {
+        for (Table t : tables()) {
+            for (Proxy p : proxies.values()) {
+                if ((p.tables >> t.number & 1) == 0 && t.serves(p) && !empty(t)) {
+                    int lines = 1 + t.rows.size() + Integer.bitCount(t.mask);
+                    if (channel.admits(List.of(p), lines, now, 0.75)) {
+                        channel.book(List.of(p), lines, now);
+                        p.tables |= 1L << t.number;
+                        orders.bind(t.number, p, t.mask);
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    private boolean levels(Orders orders) {
+        for (Table t : tables()) {
+            for (Product product : products) {
+                if ((t.mask >> product.index & 1) == 0) {
+                    continue;
+                }
+                double was = t.letIn[product.index];
+                if (was >= 0 && !(ordinary && Math.abs(product.level - was) >= (product.level == 1 ? 1e-9 : 0.05))) {
+                    continue;
+                }
+                if (channel.admits(audience(t), 1, now, 0.5)) {
+                    channel.book(audience(t), 1, now);
+                    t.letIn[product.index] = product.level;
+                    double letIn = admission == Admission.RATE ? rate(product) : product.level;
+                    orders.level(t.number, product, letIn, Orders.RETRY_UNRUN);
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    // ---- the turn: what the weights should be
+
+    private void turn() {
+        double fade = Math.exp(-TURN / MEMORY);
+        double quick = 1 - Math.exp(-TURN / SHORT_MEMORY);
+        double settled = 0;
+        double busy = 0;
+        double load = 0;
+        double voided = 0;
+        double tries = 0;
+        int in = 0;
+        for (Replica r : roll) {
+            boolean fresh = now - r.heardAt < 2 * reportEvery + TURN;
+            r.busyTime = r.busyTime * fade + (fresh ? r.load * TURN : 0);
+            r.settled *= fade;
+            if (fresh) {
+                r.steadyLoad += (r.load - r.steadyLoad) * quick;
+            }
+            if (!out(r) && r.settled > 0) {
+                settled += r.settled;
+                busy += r.busyTime;
+                load += r.steadyLoad;
+                in++;
+            }
+            tries += r.tries;
+            voided += r.voided;
+        }
+        double meanLoad = in == 0 ? 0 : load / in;
+        double voidShare = voided / (tries + 1);
+        for (Replica r : roll) {
+            health(r, voidShare, meanLoad);
+            r.tries *= 1 - quick;
+            r.voided *= 1 - quick;
+        }
+        double perBusy = busy > 0 ? settled / busy : 0;
+        double meanListed = 0;
+        for (Replica r : roll) {
+            meanListed += r.listedWeight / roll.size();
+        }
+        for (Replica r : roll) {
+            double listed = r.listedWeight / meanListed;
+            double met = in == 0 ? 0 : PRIOR * settled / in;
+            r.speed = perBusy <= 0 ? listed
+                    : (r.settled + met * listed) / (r.busyTime + PRIOR * busy / in) / perBusy;
+        }
+        double wide = meanLoad > 0 ? meanLoad : USUAL_LOAD;
+        for (Table t : tables()) {
+            step(t, wide);
+        }
+        demand(meanLoad, voidShare, in == 0 ? 0 : perBusy * 1000 * roll.size());
+    }
+
+    /** Halfway to the inverse of load per share received, with growth held for what comes up from little. */
+    private void step(Table t, double meanLoad) {
+        double mean = mean(t);
+        for (Row row : t.rows.values()) {
+            Replica r = row.replica;
+            if (r.stage != Stage.READY || out(r)) {
+                continue;
+            }
+            double perShare = meanLoad / Math.max(r.speed, 1e-3);
+            double target = SCALE / Math.max(LEAST_LOAD, perShare) * narrowed(t, r) * sound(r);
+            if (r.steadyLoad > ZERO_PAST && r.steadyLoad > meanLoad) {
+                target *= Math.max(0.75, meanLoad / r.steadyLoad);
+            }
+            double next = Math.rint((row.weight + target) / 2);
+            double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
+            row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
+        }
+    }
+
+    /** Products open to fewer replicas load those; the wider table leaves room for them. */
+    private double narrowed(Table t, Replica r) {
+        double all = 0;
+        double narrow = 0;
+        double speeds = 0;
+        for (Replica other : roll) {
+            speeds += out(other) ? 0 : other.speed;
+        }
+        for (Table other : tables()) {
+            double demand = 0;
+            for (Product p : products) {
+                demand += (other.mask >> p.index & 1) == 1 ? p.demand * p.level : 0;
+            }
+            all += demand;
+            if (other != t && other.rows.size() < t.rows.size() && other.open(r)) {
+                double open = 0;
+                for (Row row : other.rows.values()) {
+                    open += out(row.replica) ? 0 : row.replica.speed;
+                }
+                narrow += open > 0 ? demand / open : 0;
+            }
+        }
+        return all > 0 && speeds > 0 ? Math.max(0.05, 1 - narrow * speeds / all) : 1;
+    }
+
+    private double sound(Replica r) {
+        double share = r.voided / (r.tries + 2);
+        return (1 - share) * (1 - share);
+    }
+
+    private void health(Replica r, double voidShare, double meanLoad) {
+        double share = r.voided / (r.tries + 1);
+        if (!r.failing && r.voided >= 2 && share > 0.35 + voidShare && mayLeave(r, 0.5)) {
+            r.sentence = Math.min(16_000, now - r.failingUntil < 20_000 ? r.sentence * 2 : 4000);
+            r.failing = true;
+            r.failingUntil = now + r.sentence;
+            note("out " + r.id + ": voided " + percent(share) + ", all " + percent(voidShare));
+        } else if (r.failing && now >= r.failingUntil) {
+            r.failing = false;
+            comesBack(r, "tried again");
+        }
+        boolean past = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
+        if (!r.overloaded && past && mayLeave(r, 0.5)) {
+            r.overloaded = true;
+            note("zeroed " + r.id + ": load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
+        } else if (r.overloaded && !past) {
+            r.overloaded = false;
+            comesBack(r, "load " + percent(r.steadyLoad));
+        }
+    }
+
+    private void comesBack(Replica r, String why) {
+        for (Table t : tables()) {
+            Row row = t.rows.get(r);
+            if (row != null) {
+                row.weight = start(t);
+            }
+        }
+        r.busyTime = r.settled = r.tries = r.voided = 0;
+        note("back " + r.id + ": " + why);
+    }
+
+    /** Demand against what the replicas settle when busy; the cheapest products are declined first. */
+    private void demand(double meanLoad, double voidShare, double capacity) {
+        double sum = 0;
+        for (Product p : products) {
+            p.demand = 0;
+            for (Proxy proxy : proxies.values()) {
+                p.demand += proxy.demand[p.index];
+            }
+            sum += p.demand;
+        }
+        pressure = capacity > 0 ? sum / capacity : 0;
+    }
+
+    // ---- shared by the decisions
+
+    private boolean out(Replica r) {
+        return r.silent || r.failing || r.overloaded;
+    }
+
+    private double want(Row row) {
+        return row.replica.stage != Stage.READY || out(row.replica) ? 0 : row.weight;
+    }
+
+    private boolean empty(Table t) {
+        for (Row row : t.rows.values()) {
+            if (row.sent > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whether a replica may be kept out: some others must stay, or the given share of all. */
+    private boolean mayLeave(Replica r, double share) {
+        for (Table t : tables()) {
+            if (!t.rows.containsKey(r)) {
+                continue;
+            }
+            int listed = 0;
+            int stay = 0;
+            for (Row row : t.rows.values()) {
+                listed += row.replica.stage == Stage.READY ? 1 : 0;
+                stay += row.replica != r && want(row) > 0 ? 1 : 0;
+            }
+            if (stay < 1 || share < 1 && stay < listed * share) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private double mean(Table t) {
+        double sum = 0;
+        int n = 0;
+        for (Row row : t.rows.values()) {
+            if (want(row) > 0) {
+                sum += row.weight;
+                n++;
+            }
+        }
+        return n == 0 ? SCALE / USUAL_LOAD : sum / n;
+    }
+
+    private double start(Table t) {
+        return Math.max(1, Math.rint(mean(t) * SLOW_START));
+    }
+
+    private double listedShare(Replica r, Table t) {
+        double sum = 0;
+        int n = 0;
+        for (Replica other : roll) {
+            if (t.open(other)) {
+                sum += other.listedWeight;
+                n++;
+            }
+        }
+        return Math.max(1, Math.rint(SCALE / USUAL_LOAD * (n == 0 ? 1 : r.listedWeight * n / sum)));
+    }
+
+    private boolean young(Replica r) {
+        return r.startedAt > 0 && now - r.startedAt < warmAfter;
+    }
+
+    private double coldShare(Replica r) {
+        return Math.min(1, coldFrom + (1 - coldFrom) * (now - r.startedAt) / warmAfter);
+    }
+
+    private double probePace() {
+        double sum = 0;
+        for (Product p : products) {
+            sum += p.demand;
+        }
+        return Math.max(TURN, sum > 0 ? Math.min(4 * TURN, roll.size() / (0.25 * sum) * 1000) : TURN);
+    }
+
+    private double rate(Product product) {
+        return 1_000_000;
+    }
+
+    private List<Proxy> audience(Table t) {
+        List<Proxy> bound = new ArrayList<>();
+        for (Proxy p : proxies.values()) {
+            if ((p.tables >> t.number & 1) == 1) {
+                bound.add(p);
+            }
+        }
+        return bound;
+    }
+
+    /** Products with the same replicas open to them share a table; own-zone ones have one for each zone. */
+    private List<Table> tables() {
+        if (tables.isEmpty()) {
+            for (Product p : products) {
+                Table same = null;
+                for (Table t : tables) {
+                    same = t.first.kinds == p.kinds && t.first.zones == p.zones && !p.homeOnly ? t : same;
+                }
+                if (same == null) {
+                    same = new Table(tables.size(), p, -1, products.length);
+                    tables.add(same);
+                }
+                same.mask |= 1 << p.index;
+            }
+        }
+        return tables;
+    }
+
+    private void dueAt(double at, Replica r) {
+        due.add(new Due(at, dueCount++, r));
+    }
+
+    private void note(String text) {
+        notes.add(text);
+    }
+
+    private static String percent(double share) {
+        return Math.round(share * 100) + "%";
+    }
+
+    /** The gate: one model of the lines that wait in the channel and of the messages to each proxy. */
+    private static final class Channel {
+        /** Of the stated pace, what is counted on: a channel may run slow for a while. */
+        private static final double TRUSTED = 0.5;
+
+        private final double pace;
+        private final double head;
+        private final double cap;
+        private final int messageCap;
+        private final double messageSpan;
+        private double waiting;
+        private double at;
+
+        Channel(double pace, double head, double cap, int messageCap, double messageSpan) {
+            this.pace = pace;
+            this.head = head;
+            this.cap = cap;
+            this.messageCap = messageCap;
+            this.messageSpan = messageSpan;
+        }
+
+        /** Whether lines for these proxies fit into the given part of the limits. */
+        boolean admits(List<Proxy> to, int lines, double now, double part) {
+            waiting = Math.max(0, waiting - (now - at) * pace * TRUSTED);
+            at = now;
+            double cost = 0;
+            for (Proxy p : to) {
+                boolean open = !p.messages.isEmpty() && p.messages.peekLast() == now;
+                cost += lines + (open ? 0 : head);
+                while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
+                    p.messages.pollFirst();
+                }
+                if (messageCap > 0 && !open && p.messages.size() + 1 > part * messageCap) {
+                    return false;
+                }
+            }
+            return waiting + cost <= part * cap;
+        }
+
+        void book(List<Proxy> to, int lines, double now) {
+            for (Proxy p : to) {
+                if (p.messages.isEmpty() || p.messages.peekLast() != now) {
+                    p.messages.addLast(now);
+                    waiting += head;
+                }
+                waiting += lines;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -0,0 +1,21 @@
+package sprucelanding;
+
+import java.util.ArrayDeque;
+
+/** A proxy whose stream is joined, and what has been sent to it. */
+public final class Proxy {
+    public final int id;
+    final int zone;
+    /** The tables it was put on, as a mask of their numbers. */
+    long tables;
+    /** When messages were ordered for it, oldest first. */
+    final ArrayDeque<Double> messages = new ArrayDeque<>();
+    /** Txns a second by product, smoothed. */
+    final double[] demand;
+
+    Proxy(int id, int zone, int products) {
+        this.id = id;
+        this.zone = zone;
+        this.demand = new double[products];
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/wire/Opening.java
@@ -0,0 +1,113 @@
+package sprucelanding.wire;
+
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.util.SplittableRandom;
+import sprucelanding.Choice;
+import sprucelanding.Product;
+
+/** Reads the settings object of BORN and opens a Choice with it. Unknown keys are left alone. */
+final class Opening {
+    private static final double US_PER_MS = 1000;
+
+    private final JsonObject root;
+
+    Opening(String text) {
+        try {
+            root = Json.parse(text).asObject();
+        } catch (ParseException | UnsupportedOperationException e) {
+            throw new Malformed("BORN settings are no JSON object: " + e.getMessage());
+        }
+    }
+
+    int loadColumn() {
+        JsonValue names = part("report").get("names");
+        int column = 0;
+        if (names != null && names.isArray()) {
+            for (JsonValue name : names.asArray()) {
+                if (name.isString() && name.asString().equals("cpu_share")) {
+                    return column;
+                }
+                column++;
+            }
+        }
+        return -1;
+    }
+
+    Choice choice(long seed) {
+        try {
+            return build(seed);
+        } catch (UnsupportedOperationException | NumberFormatException e) {
+            throw new Malformed("BORN settings hold a value of the wrong type: " + e.getMessage());
+        }
+    }
+
+    private Choice build(long seed) {
+        JsonObject info = part("familyInfo");
+        JsonObject contract = part("contract");
+        JsonObject limits = part("ceilings");
+        Choice choice = new Choice(new SplittableRandom(seed), products(info));
+        choice.roll(root.getString("membershipMode", "pushed").equals("pushed"), ms(contract, "askEveryUs", 10_000_000));
+        choice.channel(info.getDouble("egressPerS", 1000) / 1000, info.getDouble("head", 0),
+                info.getDouble("queueCap", 1000), info.getInt("updateCap", 0), ms(info, "reloadSpanUs", 10_000_000));
+        choice.warming(contract.getDouble("coldFrom", 0.1), ms(contract, "warmAfterUs", 0));
+        choice.reports(part("report").getString("how", "none").equals("answers"),
+                limits.getBoolean("probes", false), ms(info, "reportEveryUs", 1_000_000));
+        choice.admission(switch (info.getString("admit", "none")) {
+            case "share" -> Choice.Admission.SHARE;
+            case "rate" -> Choice.Admission.RATE;
+            default -> Choice.Admission.NONE;
+        });
+        return choice;
+    }
+
+    private Product[] products(JsonObject info) {
+        JsonValue classes = root.get("classes");
+        if (classes == null || !classes.isArray() || classes.asArray().isEmpty()) {
+            throw new Malformed("BORN settings name no classes");
+        }
+        JsonArray all = classes.asArray();
+        JsonValue home = info.get("homeOnly");
+        Product[] products = new Product[all.size()];
+        for (int i = 0; i < products.length; i++) {
+            JsonObject each = all.get(i).asObject();
+            boolean homeOnly = home != null && home.isArray() && i < home.asArray().size()
+                    && home.asArray().get(i).asBoolean();
+            products[i] = new Product(i, each.getString("effect", "side_effect").equals("pure"),
+                    each.getDouble("worth", 1), ms(each, "promiseUs", 1_000_000),
+                    mask(each.get("onlyKinds"), "kinds"), mask(each.get("onlyZones"), "zones"), homeOnly);
+        }
+        return products;
+    }
+
+    /** A list of indices or names as a bit mask; all where there is none. */
+    private long mask(JsonValue only, String names) {
+        if (only == null || !only.isArray() || only.asArray().isEmpty()) {
+            return -1;
+        }
+        long mask = 0;
+        JsonValue known = root.get(names);
+        for (JsonValue each : only.asArray()) {
+            if (each.isNumber()) {
+                mask |= 1L << each.asInt();
+            } else if (known != null && known.isArray()) {
+                for (int i = 0; i < known.asArray().size(); i++) {
+                    mask |= known.asArray().get(i).equals(each) ? 1L << i : 0;
+                }
+            }
+        }
+        return mask;
+    }
+
+    private JsonObject part(String name) {
+        JsonValue part = root.get(name);
+        return part != null && part.isObject() ? part.asObject() : new JsonObject();
+    }
+
+    private static double ms(JsonObject part, String key, double absentUs) {
+        return part.getDouble(key, absentUs) / US_PER_MS;
+    }
+}
