--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,11 @@
     private static final double SLOW_START = 0.1;
     private static final double GROWTH = 1.5;
     private static final double CHANGE = 0.1;
+    /** Past this mean load queues grow; levels steer for the goal. */
+    private static final double SATURATED = 0.9;
+    private static final double GOAL_LOAD = 0.85;
+    private static final double LEAST_LEVEL = 0.05;
+    private static final double UNLIMITED = 1_000_000;
 
     // ---- what the site states
 
@@ -51,7 +57,6 @@
     private final Product[] products;
     private final List<Table> tables = new ArrayList<>();
     private boolean pushed;
-    private double askEvery;
     private double coldFrom;
     private double warmAfter;
     private boolean probes;
@@ -74,9 +79,12 @@
     private boolean whole;
     private boolean cached;
     private final List<Replica> named = new ArrayList<>();
-    private double pressure;
-    private boolean shedding;
+    /** Share of all demand that is let in, and the figures it went by at the last turn. */
     private double admitted = 1;
+    private boolean strained;
+    private double meanLoad;
+    private double voidShare;
+    private double capacity;
 
     /** One due time: to probe a replica, or (without one) to ask for the list. */
     private record Due(double at, long order, Replica replica) implements Comparable<Due> {
@@ -107,13 +115,15 @@
         int mask;
         final Map<Replica, Row> rows = new LinkedHashMap<>();
         final double[] letIn;
+        final int[] retry;
 
         Table(int number, Product first, int home, int products) {
             this.number = number;
             this.first = first;
             this.home = home;
             this.letIn = new double[products];
-            java.util.Arrays.fill(letIn, -1);
+            this.retry = new int[products];
+            Arrays.fill(letIn, -1);
         }
 
         boolean open(Replica r) {
@@ -131,9 +141,8 @@
         this.products = products;
     }
 
-    public void roll(boolean pushed, double askEvery) {
+    public void roll(boolean pushed) {
         this.pushed = pushed;
-        this.askEvery = askEvery;
         if (!pushed) {
             dueAt(Double.NEGATIVE_INFINITY, null);
         }
@@ -148,7 +157,7 @@
         this.warmAfter = warmAfter;
     }
 
-    public void reports(boolean withAnswers, boolean probes, double every) {
+    public void reports(boolean probes, double every) {
         this.probes = probes;
         this.reportEvery = every;
     }
@@ -199,7 +208,7 @@
         if (!roll.contains(r)) {
             roll.add(r);
         }
-        r.busyTime = r.settled = r.tries = r.voided = r.steadyLoad = r.load = 0;
+        r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
         r.heardAt = Double.NEGATIVE_INFINITY;
         r.unanswered = 0;
         r.silent = r.failing = r.overloaded = false;
@@ -272,7 +281,8 @@
     private void missed(Replica r, int weight) {
         r.answered = 0;
         r.unanswered += weight;
-        if (r.unanswered >= 4 && !r.silent && mayLeave(r, 1)) {
+        boolean busy = meanLoad > SATURATED - 0.1 || r.load > SATURATED;
+        if (r.unanswered >= (busy ? 12 : 4) && !r.silent && mayLeave(r, 1)) {
             r.silent = true;
             note("out " + r.id + ": no answer to probes");
         }
@@ -294,6 +304,7 @@
         r.settled += tries - bad;
         r.tries += tries;
         r.voided += bad;
+        r.waited += (tries - bad) * Math.max(0, answerTime);
         reported(r, load);
     }
 
@@ -317,10 +328,6 @@
         proxies.remove(id);
     }
 
-    public void peerSaid(int from, byte[] note) {
-        // peers are not asked for anything yet
-    }
-
     // ---- decisions
 
     /** Gives the next order, if there is one. */
@@ -423,14 +430,17 @@
                     continue;
                 }
                 double was = t.letIn[product.index];
-                if (was >= 0 && !(ordinary && Math.abs(product.level - was) >= (product.level == 1 ? 1e-9 : 0.05))) {
+                int retry = strained ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
+                double letIn = admission == Admission.RATE ? rate(product) : product.level;
+                boolean small = Math.abs(letIn - was) < 0.05 * Math.max(was, letIn) || letIn == was;
+                if (was >= 0 && (!ordinary || small && t.retry[product.index] == retry)) {
                     continue;
                 }
                 if (channel.admits(audience(t), 1, now, 0.5)) {
                     channel.book(audience(t), 1, now);
-                    t.letIn[product.index] = product.level;
-                    double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                    orders.level(t.number, product, letIn, Orders.RETRY_UNRUN);
+                    t.letIn[product.index] = letIn;
+                    t.retry[product.index] = retry;
+                    orders.level(t.number, product, letIn, retry);
                     return true;
                 }
             }
@@ -448,6 +458,7 @@
         double load = 0;
         double voided = 0;
         double tries = 0;
+        double waited = 0;
         int in = 0;
         for (Replica r : roll) {
             boolean fresh = now - r.heardAt < 2 * reportEvery + TURN;
@@ -464,15 +475,21 @@
             }
             tries += r.tries;
             voided += r.voided;
+            waited += r.waited;
         }
-        double meanLoad = in == 0 ? 0 : load / in;
-        double voidShare = voided / (tries + 1);
+        meanLoad = in == 0 ? 0 : load / in;
+        voidShare = voided / (tries + 1);
+        double answerTime = waited / (tries - voided + 1);
         for (Replica r : roll) {
-            health(r, voidShare, meanLoad);
+            health(r);
             r.tries *= 1 - quick;
             r.voided *= 1 - quick;
+            r.waited *= 1 - quick;
         }
         double perBusy = busy > 0 ? settled / busy : 0;
+        if (voidShare < 0.1 || capacity == 0) {
+            capacity = perBusy * 1000;
+        }
         double meanListed = 0;
         for (Replica r : roll) {
             meanListed += r.listedWeight / roll.size();
@@ -483,22 +500,22 @@
             r.speed = perBusy <= 0 ? listed
                     : (r.settled + met * listed) / (r.busyTime + PRIOR * busy / in) / perBusy;
         }
-        double wide = meanLoad > 0 ? meanLoad : USUAL_LOAD;
+        double sent = tries * quick / TURN * 1000;
+        admit(in == 0 ? 0 : Math.max(meanLoad, capacity > 0 ? sent / (capacity * in) : 0), answerTime);
         for (Table t : tables()) {
-            step(t, wide);
+            step(t, meanLoad > 0 ? meanLoad : USUAL_LOAD);
         }
-        demand(meanLoad, voidShare, in == 0 ? 0 : perBusy * 1000 * roll.size());
     }
 
     /** Halfway to the inverse of load per share received, with growth held for what comes up from little. */
-    private void step(Table t, double meanLoad) {
+    private void step(Table t, double usual) {
         double mean = mean(t);
         for (Row row : t.rows.values()) {
             Replica r = row.replica;
             if (r.stage != Stage.READY || out(r)) {
                 continue;
             }
-            double perShare = meanLoad / Math.max(r.speed, 1e-3);
+            double perShare = usual / Math.max(r.speed, 1e-3);
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * narrowed(t, r) * sound(r);
             if (r.steadyLoad > ZERO_PAST && r.steadyLoad > meanLoad) {
                 target *= Math.max(0.75, meanLoad / r.steadyLoad);
@@ -539,9 +556,10 @@
         return (1 - share) * (1 - share);
     }
 
-    private void health(Replica r, double voidShare, double meanLoad) {
+    private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
-        if (!r.failing && r.voided >= 2 && share > 0.35 + voidShare && mayLeave(r, 0.5)) {
+        if (!r.failing && r.voided >= 2 && share > 0.35 + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)
+                && mayLeave(r, 0.5)) {
             r.sentence = Math.min(16_000, now - r.failingUntil < 20_000 ? r.sentence * 2 : 4000);
             r.failing = true;
             r.failingUntil = now + r.sentence;
@@ -567,21 +585,50 @@
                 row.weight = start(t);
             }
         }
-        r.busyTime = r.settled = r.tries = r.voided = 0;
+        r.busyTime = r.settled = r.tries = r.voided = r.waited = 0;
         note("back " + r.id + ": " + why);
     }
 
-    /** Demand against what the replicas settle when busy; the cheapest products are declined first. */
-    private void demand(double meanLoad, double voidShare, double capacity) {
+    /**
+     * Lets in what the replicas can do. Use is the mean load, or the tries sent over what the fleet settled
+     * when it was well, whichever is more; voided tries and slow answers above the usual count on top, so
+     * that queues drain. The products that bring least are declined first.
+     */
+    private void admit(double use, double answerTime) {
         double sum = 0;
+        double slaTime = 0;
         for (Product p : products) {
             p.demand = 0;
             for (Proxy proxy : proxies.values()) {
                 p.demand += proxy.demand[p.index];
             }
             sum += p.demand;
+            slaTime += p.demand * p.slaTime;
+        }
+        if (sum <= 0) {
+            return;
+        }
+        double late = Math.max(0, answerTime / (slaTime / sum) - 0.5);
+        double strain = use * (1 + late + voidShare);
+        boolean was = strained;
+        strained = use > SATURATED && strain > 1 || strained && admitted < 1;
+        if (strained) {
+            admitted = Math.min(1, admitted * Math.max(0.75, Math.min(1.08, GOAL_LOAD / strain)));
+        }
+        if (strained != was) {
+            note((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
+                    + ", voided " + percent(voidShare));
+        }
+        double left = admitted * sum;
+        for (Product p : products) {
+            double higher = 0;
+            double same = 0;
+            for (Product other : products) {
+                higher += other.revenue > p.revenue ? other.demand : 0;
+                same += other.revenue == p.revenue ? other.demand : 0;
+            }
+            p.level = same <= 0 ? 1 : Math.max(LEAST_LEVEL, Math.min(1, (left - higher) / same));
         }
-        pressure = capacity > 0 ? sum / capacity : 0;
     }
 
     // ---- shared by the decisions
@@ -666,8 +713,30 @@
         return Math.max(TURN, sum > 0 ? Math.min(4 * TURN, roll.size() / (0.25 * sum) * 1000) : TURN);
     }
 
+    /** The rate at each proxy that lets in the product's share: those with little keep all of theirs. */
     private double rate(Product product) {
-        return 1_000_000;
+        double most = 0;
+        for (Proxy p : proxies.values()) {
+            most = Math.max(most, p.demand[product.index]);
+        }
+        if (product.level >= 1 || most <= 0) {
+            return UNLIMITED;
+        }
+        double low = 0;
+        double high = most;
+        for (int i = 0; i < 20; i++) {
+            double middle = (low + high) / 2;
+            double sum = 0;
+            for (Proxy p : proxies.values()) {
+                sum += Math.min(middle, p.demand[product.index]);
+            }
+            if (sum < product.level * product.demand) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        return Math.max(0.1, high);
     }
 
     private List<Proxy> audience(Table t) {
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -19,6 +19,8 @@
     double settled;
     double tries;
     double voided;
+    /** Sum of the settled tries' answer times. */
+    double waited;
 
     /** The least weight by the speed learnt so far, and what its health leaves of it. */
     double speed = 1;
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -176,9 +176,8 @@
             case "CHECKED_IN" -> choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0),
                     line.flag(5));
             case "STREAM_DOWN" -> choice.left(line.needs(2).small(2));
-            case "HEARD" -> choice.peerSaid(line.needs(3).small(2), line.bytes(3));
-            case "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
-                // receipts, which are not asked for, and the slices of other sites
+            case "HEARD", "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
+                // peers' notes and receipts, which nothing asks for, and the slices of other sites
             }
             default -> throw new Malformed("unknown event " + line.name());
         }
