--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -84,7 +84,6 @@
     private boolean strained;
     private double meanLoad;
     private double voidShare;
-    private double capacity;
 
     /** One due time: to probe a replica, or (without one) to ask for the list. */
     private record Due(double at, long order, Replica replica) implements Comparable<Due> {
@@ -456,6 +455,7 @@
         double settled = 0;
         double busy = 0;
         double load = 0;
+        double latest = 0;
         double voided = 0;
         double tries = 0;
         double waited = 0;
@@ -471,6 +471,7 @@
                 settled += r.settled;
                 busy += r.busyTime;
                 load += r.steadyLoad;
+                latest += r.load;
                 in++;
             }
             tries += r.tries;
@@ -487,9 +488,6 @@
             r.waited *= 1 - quick;
         }
         double perBusy = busy > 0 ? settled / busy : 0;
-        if (voidShare < 0.1 || capacity == 0) {
-            capacity = perBusy * 1000;
-        }
         double meanListed = 0;
         for (Replica r : roll) {
             meanListed += r.listedWeight / roll.size();
@@ -500,8 +498,7 @@
             r.speed = perBusy <= 0 ? listed
                     : (r.settled + met * listed) / (r.busyTime + PRIOR * busy / in) / perBusy;
         }
-        double sent = tries * quick / TURN * 1000;
-        admit(in == 0 ? 0 : Math.max(meanLoad, capacity > 0 ? sent / (capacity * in) : 0), answerTime);
+        admit(in == 0 ? 0 : latest / in, answerTime);
         for (Table t : tables()) {
             step(t, meanLoad > 0 ? meanLoad : USUAL_LOAD);
         }
@@ -590,9 +587,8 @@
     }
 
     /**
-     * Lets in what the replicas can do. Use is the mean load, or the tries sent over what the fleet settled
-     * when it was well, whichever is more; voided tries and slow answers above the usual count on top, so
-     * that queues drain. The products that bring least are declined first.
+     * Lets in what the replicas can do. Use is the mean load; a load
+     * stops at all cores busy, so voided tries and slow answers count on top, and queues drain. The products that bring least are declined first.
      */
     private void admit(double use, double answerTime) {
         double sum = 0;
@@ -613,7 +609,7 @@
         boolean was = strained;
         strained = use > SATURATED && strain > 1 || strained && admitted < 1;
         if (strained) {
-            admitted = Math.min(1, admitted * Math.max(0.75, Math.min(1.08, GOAL_LOAD / strain)));
+            admitted = Math.min(1, admitted * Math.max(0.8, Math.min(1.15, Math.sqrt(GOAL_LOAD / strain))));
         }
         if (strained != was) {
             note((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
