--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -48,6 +48,8 @@
     /** Past this mean load queues grow; levels steer for the goal. */
     private static final double SATURATED = 0.9;
     private static final double GOAL_LOAD = 0.85;
+    /** How many turns pass until a level shows in the reports. */
+    private static final int LAG_TURNS = 3;
     private static final double LEAST_LEVEL = 0.05;
     private static final double UNLIMITED = 1_000_000;
 
@@ -81,6 +83,8 @@
     private final List<Replica> named = new ArrayList<>();
     /** Share of all demand that is let in, and the figures it went by at the last turn. */
     private double admitted = 1;
+    /** What was let in over the last turns: reports tell of the oldest. */
+    private final ArrayDeque<Double> past = new ArrayDeque<>();
     private boolean strained;
     private double meanLoad;
     private double voidShare;
@@ -609,7 +613,13 @@
         boolean was = strained;
         strained = use > SATURATED && strain > 1 || strained && admitted < 1;
         if (strained) {
-            admitted = Math.min(1, admitted * Math.max(0.8, Math.min(1.15, Math.sqrt(GOAL_LOAD / strain))));
+            double measured = past.size() < LAG_TURNS ? 1 : past.peekFirst();
+            double step = measured * GOAL_LOAD / strain;
+            admitted = Math.min(1, Math.max(0.7 * admitted, Math.min(1.25 * admitted, step)));
+        }
+        past.addLast(admitted);
+        if (past.size() > LAG_TURNS) {
+            past.pollFirst();
         }
         if (strained != was) {
             note((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
