--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -39,7 +39,9 @@
     private static final double SCALE = 100;
     private static final double LEAST_LOAD = 0.05;
     private static final double USUAL_LOAD = 0.5;
-    private static final double ZERO_PAST = 0.8;
+    private static final double ZERO_PAST = 0.95;
+    /** Past this load a weight shrinks by up to a quarter a turn. */
+    private static final double BUSY = 0.8;
     /** A replica is zeroed for load only if it stands this far above the rest. */
     private static final double ABOVE_REST = 1.5;
     private static final double SLOW_START = 0.1;
@@ -214,7 +216,7 @@
         r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
         r.heardAt = Double.NEGATIVE_INFINITY;
         r.unanswered = 0;
-        r.silent = r.failing = r.overloaded = false;
+        r.out = r.zeroed = false;
         r.deafUntil = restarted ? now + 2 * reportEvery : 0;
         for (Table t : tables()) {
             if (t.open(r)) {
@@ -271,23 +273,39 @@
             }
         }
         reported(r, load);
-        if (r.silent && r.answered >= 2) {
-            r.silent = false;
-            comesBack(r, "answers");
-        }
         if (r.stage == Stage.READY) {
             r.probing = true;
-            dueAt(now + (r.unanswered > 0 && !r.silent ? TURN / 4 : probePace()), r);
+            dueAt(now + (r.unanswered > 0 && !r.out ? TURN / 4 : probePace()), r);
         }
     }
 
+    /**
+     * A replica that answers no probe is out, unless it still settles txns while the fleet is busy: then the
+     * probe stood in a full queue, and its silence is a report of full load. Misses count double while others
+     * of the zone miss too, as in a cut or the loss of a zone.
+     */
     private void missed(Replica r, int weight) {
+        boolean together = false;
+        for (Replica other : roll) {
+            together |= other != r && other.zone == r.zone && other.unanswered > 0;
+        }
         r.answered = 0;
-        r.unanswered += weight;
-        boolean busy = meanLoad > SATURATED - 0.1 || r.load > SATURATED;
-        if (r.unanswered >= (busy ? 12 : 4) && !r.silent && mayLeave(r, 1)) {
-            r.silent = true;
-            note("out " + r.id + ": no answer to probes");
+        r.unanswered += together ? 2 * weight : weight;
+        boolean settles = now - r.settledAt < 1.5 * reportEvery;
+        if (weight == 1 && settles) {
+            reported(r, 1);
+        }
+        if (r.unanswered >= 4 && !(settles && meanLoad > BUSY)) {
+            leaves(r, 0, 0.25, "no answer to probes");
+        }
+    }
+
+    private void leaves(Replica r, double hold, double stay, String why) {
+        if (!r.out && mayLeave(r, stay)) {
+            r.out = true;
+            r.outUntil = now + hold;
+            r.answered = 0;
+            note("out " + r.id + ": " + why);
         }
     }
 
@@ -307,6 +325,9 @@
         r.settled += tries - bad;
         r.tries += tries;
         r.voided += bad;
+        if (tries > bad) {
+            r.settledAt = now;
+        }
         r.waited += (tries - bad) * Math.max(0, answerTime);
         reported(r, load);
     }
@@ -518,8 +539,8 @@
             }
             double perShare = usual / Math.max(r.speed, 1e-3);
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * narrowed(t, r) * sound(r);
-            if (r.steadyLoad > ZERO_PAST && r.steadyLoad > meanLoad) {
-                target *= Math.max(0.75, meanLoad / r.steadyLoad);
+            if (r.steadyLoad > BUSY && r.steadyLoad > meanLoad) {
+                target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
             }
             double next = Math.rint((row.weight + target) / 2);
             double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
@@ -559,22 +580,19 @@
 
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
-        if (!r.failing && r.voided >= 2 && share > 0.35 + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)
-                && mayLeave(r, 0.5)) {
-            r.sentence = Math.min(16_000, now - r.failingUntil < 20_000 ? r.sentence * 2 : 4000);
-            r.failing = true;
-            r.failingUntil = now + r.sentence;
-            note("out " + r.id + ": voided " + percent(share) + ", all " + percent(voidShare));
-        } else if (r.failing && now >= r.failingUntil) {
-            r.failing = false;
-            comesBack(r, "tried again");
+        if (!r.out && r.voided >= 2 && share > 0.35 + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
+            r.sentence = now - r.outUntil < 20_000 ? Math.min(16_000, r.sentence * 2) : 4000;
+            leaves(r, r.sentence, 0.5, "voided " + percent(share) + ", all " + percent(voidShare));
+        } else if (r.out && now >= r.outUntil && (!probes || r.answered >= 2)) {
+            r.out = false;
+            comesBack(r, "answers");
         }
         boolean past = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
-        if (!r.overloaded && past && mayLeave(r, 0.5)) {
-            r.overloaded = true;
+        if (!r.zeroed && past && mayLeave(r, 0.5)) {
+            r.zeroed = true;
             note("zeroed " + r.id + ": load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
-        } else if (r.overloaded && !past) {
-            r.overloaded = false;
+        } else if (r.zeroed && !past) {
+            r.zeroed = false;
             comesBack(r, "load " + percent(r.steadyLoad));
         }
     }
@@ -640,7 +658,7 @@
     // ---- shared by the decisions
 
     private boolean out(Replica r) {
-        return r.silent || r.failing || r.overloaded;
+        return r.out || r.zeroed;
     }
 
     private double want(Row row) {
@@ -668,7 +686,7 @@
                 listed += row.replica.stage == Stage.READY ? 1 : 0;
                 stay += row.replica != r && want(row) > 0 ? 1 : 0;
             }
-            if (stay < 1 || share < 1 && stay < listed * share) {
+            if (stay < Math.max(1, listed * share)) {
                 return false;
             }
         }
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -29,12 +29,13 @@
     /** Probes in a row without, and with, an answer. */
     double unanswered;
     int answered;
-    /** Kept out of the tables, and why. */
-    boolean silent;
-    boolean failing;
-    boolean overloaded;
-    double failingUntil;
+    /** Kept out of the tables for its health, at least until then; and for its load. */
+    boolean out;
+    double outUntil = Double.NEGATIVE_INFINITY;
     double sentence;
+    boolean zeroed;
+    /** When a report last told of a settled try. */
+    double settledAt = Double.NEGATIVE_INFINITY;
     /** Reports before this time tell of an earlier life. */
     double deafUntil;
 
