Silence tells a cut or a hang from full queues; slow and void answers alone mean strain

Cause: probes that wait in full queues time out, healthy replicas were taken out one after the other and the load of the rest was never seen, so nothing was declined until servers coming back fell over. Could harm: a hang of several replicas in several zones at once waits for the reports.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -280,23 +280,29 @@
     }
 
     /**
-     * A replica that answers no probe is out, unless it still settles txns while the fleet is busy: then the
-     * probe stood in a full queue, and its silence is a report of full load. Misses count double while others
-     * of the zone miss too, as in a cut or the loss of a zone.
+     * A replica that answers no probe is out. But while it still settles txns, only if its whole zone is as
+     * silent and the others are not (a cut or a lost zone), or if hardly any other is (a hang, a crash):
+     * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
     private void missed(Replica r, int weight) {
-        boolean together = false;
+        double mates = 0;
+        double mute = 0;
+        double muteMates = 0;
         for (Replica other : roll) {
-            together |= other != r && other.zone == r.zone && other.unanswered > 0;
+            boolean silent = other == r || other.unanswered > 0;
+            mates += other.zone == r.zone ? 1 : 0;
+            muteMates += silent && other.zone == r.zone ? 1 : 0;
+            mute += silent ? 1 : 0;
         }
+        boolean together = muteMates > 1 && muteMates >= 0.8 * mates && mute - muteMates < 0.3 * (roll.size() - mates);
         r.answered = 0;
         r.unanswered += together ? 2 * weight : weight;
-        boolean settles = now - r.settledAt < 1.5 * reportEvery;
-        if (weight == 1 && settles) {
+        boolean settles = weight == 1 && now - r.settledAt < 1.5 * reportEvery;
+        if (settles) {
             reported(r, 1);
         }
-        if (r.unanswered >= 4 && !(settles && meanLoad > BUSY)) {
-            leaves(r, 0, 0.25, "no answer to probes");
+        if (r.unanswered >= 4 && (!settles || together || mute <= Math.max(1, 0.15 * roll.size()))) {
+            leaves(r, 0, 0.25, "no answer to probes" + (together ? ", nor from its zone" : ""));
         }
     }
 
@@ -481,6 +487,7 @@
         double busy = 0;
         double load = 0;
         double latest = 0;
+        double weights = 0;
         double voided = 0;
         double tries = 0;
         double waited = 0;
@@ -495,15 +502,17 @@
             if (!out(r) && r.settled > 0) {
                 settled += r.settled;
                 busy += r.busyTime;
-                load += r.steadyLoad;
-                latest += r.load;
+                double weight = tables().get(0).rows.get(r) == null ? 0 : tables().get(0).rows.get(r).weight;
+                load += r.steadyLoad * weight;
+                latest += r.load * weight;
+                weights += weight;
                 in++;
             }
             tries += r.tries;
             voided += r.voided;
             waited += r.waited;
         }
-        meanLoad = in == 0 ? 0 : load / in;
+        meanLoad = weights == 0 ? 0 : load / weights;
         voidShare = voided / (tries + 1);
         double answerTime = waited / (tries - voided + 1);
         for (Replica r : roll) {
@@ -523,7 +532,7 @@
             r.speed = perBusy <= 0 ? listed
                     : (r.settled + met * listed) / (r.busyTime + PRIOR * busy / in) / perBusy;
         }
-        admit(in == 0 ? 0 : latest / in, answerTime);
+        admit(weights == 0 ? 0 : latest / weights, answerTime);
         for (Table t : tables()) {
             step(t, meanLoad > 0 ? meanLoad : USUAL_LOAD);
         }
@@ -627,9 +636,10 @@
             return;
         }
         double late = Math.max(0, answerTime / (slaTime / sum) - 0.5);
-        double strain = use * (1 + late + voidShare);
+        double full = late > 0.2 && late + voidShare > 0.4 ? Math.max(1, use) : use;
+        double strain = full * (1 + late + voidShare);
         boolean was = strained;
-        strained = use > SATURATED && strain > 1 || strained && admitted < 1;
+        strained = full > SATURATED && strain > 1 || strained && admitted < 1;
         if (strained) {
             double measured = past.size() < LAG_TURNS ? 1 : past.peekFirst();
             double step = measured * GOAL_LOAD / strain;
