--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,11 +11,11 @@
 
 /**
  * Decides what one governor tells its proxies. The host opens it with what the site states (the constructor,
- * then roll, channel, warming, reports and admission, once each), calls clock, then the inputs (listed, met,
- * probed, came, joined, left, bell, ...), which only note what is known, and then decide until it says false;
- * each call gives one order. What it can order stands in Orders; the facts it keeps, in Replica, Proxy and
- * Product. Weights follow docs/design.md: halfway steps to inverse-load weights, zeroing past a threshold,
- * removals first and then the largest changes, within what the channel drains. Times are ms.
+ * then roll, channel, warming, reports and admission, once each). At each event it calls clock, then the
+ * inputs, which only note what is known, and then decide until that says false; each call gives one order.
+ * The orders stand in Orders; the facts kept, in Replica, Proxy, Product and Table. Weights follow
+ * docs/design.md: halfway steps to inverse-load weights, zeroing past a threshold, removals first and then
+ * the largest changes, within what the channel drains. Times are ms.
  */
 public final class Choice {
     public enum Stage { READY, DRAINING, GONE }
@@ -28,39 +27,61 @@
     private static final int TURN_BELL = 1;
     private static final int DUE_BELL = 2;
 
-    /** A cycle: weights move once in it. */
+    /** A cycle: weights and levels move once in it. */
     private static final double TURN = 1000;
-    /** How long busy time and tries count, so that a weight rests on some dozens of them. */
+    /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
     private static final double MEMORY = 6000;
-    /** Memory for health and for the load that zeroing goes by: shorter, for trouble must show at once. */
+    /** The same for health and for the load that zeroing goes by: trouble must show at once. */
     private static final double SHORT_MEMORY = 2500;
-    /** Of an average replica's evidence: how much the listed weight counts for as well. */
+    /** How much the listed weight counts beside the evidence, as a part of an average replica's. */
     private static final double PRIOR = 0.3;
+    /** The design's figures: weight at full load, least load that counts, slow start, growth, change sent. */
     private static final double SCALE = 100;
     private static final double LEAST_LOAD = 0.05;
-    private static final double USUAL_LOAD = 0.5;
-    private static final double ZERO_PAST = 0.95;
-    /** Past this load a weight shrinks by up to a quarter a turn. */
-    private static final double BUSY = 0.8;
-    /** A replica is zeroed for load only if it stands this far above the rest. */
-    private static final double ABOVE_REST = 1.5;
     private static final double SLOW_START = 0.1;
     private static final double GROWTH = 1.5;
     private static final double CHANGE = 0.1;
-    /** Past this mean load queues grow; levels steer for the goal. */
+    /** Load assumed while none is known. */
+    private static final double USUAL_LOAD = 0.5;
+    /** Past this load a weight shrinks at once; past this mean load queues grow; and levels steer for this. */
+    private static final double BUSY = 0.8;
     private static final double SATURATED = 0.9;
     private static final double GOAL_LOAD = 0.85;
+    /** The zeroing threshold: a few cores look busy for a report at 80%, so it takes all of them for longer. */
+    private static final double ZERO_PAST = 0.95;
+    /** A replica is zeroed for load only if it stands this far above the rest. */
+    private static final double ABOVE_REST = 1.5;
+    /** Missed probes that make a replica silent: four, or two refused connections. */
+    private static final int SILENT_AFTER = 4;
+    /** Of a table's lines, at least this part stays when silence, or when failure or load, takes some out. */
+    private static final double STAY_SILENT = 0.25;
+    private static final double STAY_SICK = 0.5;
+    /** Share of tries voided, above the fleet's, that is a sickness. */
+    private static final double SICK = 0.35;
+    /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
+    private static final double SENTENCE = 4000;
+    private static final double LONGEST_SENTENCE = 16_000;
     /** How many turns pass until a level shows in the reports. */
     private static final int LAG_TURNS = 3;
     private static final double LEAST_LEVEL = 0.05;
     private static final double UNLIMITED = 1_000_000;
-
-    // ---- what the site states
+    /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
+    private static final double ORDINARY = 0.5;
+    private static final double URGENT = 0.75;
+    private static final double BINDING = 1;
+    /** Probes for each txn, at most. */
+    private static final double PROBE_SHARE = 0.25;
 
     private final SplittableRandom chance;
     private final Product[] products;
     private final List<Table> tables = new ArrayList<>();
-    private boolean pushed;
+    private final Map<Long, Replica> replicas = new LinkedHashMap<>();
+    /** The replicas listed as ready. */
+    private final List<Replica> roll = new ArrayList<>();
+    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+    private final ArrayDeque<String> notes = new ArrayDeque<>();
+    private final TreeSet<Due> due = new TreeSet<>();
+    private boolean asked;
     private double coldFrom;
     private double warmAfter;
     private boolean probes;
@@ -68,24 +89,17 @@
     private Admission admission = Admission.NONE;
     private Channel channel;
 
-    // ---- what is known
-
     private double now;
-    private final Map<Long, Replica> replicas = new LinkedHashMap<>();
-    private final List<Replica> roll = new ArrayList<>();
-    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
-    private final ArrayDeque<String> notes = new ArrayDeque<>();
-    private final TreeSet<Due> due = new TreeSet<>();
     private long dueCount;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
+    private boolean news;
     private boolean ordinary;
-    private boolean whole;
-    private boolean cached;
+    private boolean wholeList;
+    private boolean firstList;
     private final List<Replica> named = new ArrayList<>();
-    /** Share of all demand that is let in, and the figures it went by at the last turn. */
+    /** Share of all demand that is let in; what it was over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
-    /** What was let in over the last turns: reports tell of the oldest. */
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private boolean strained;
     private double meanLoad;
@@ -100,55 +114,32 @@
         }
     }
 
-    /** A table's line: the weight it has come to and the one last ordered. */
-    private static final class Row {
-        final Replica replica;
-        double weight;
-        double sent;
-
-        Row(Replica replica, double weight) {
-            this.replica = replica;
-            this.weight = weight;
-        }
-    }
-
-    /** One shared table; products that are open to the same replicas have it in common. */
-    private static final class Table {
-        final int number;
-        final Product first;
-        final int home;
-        int mask;
-        final Map<Replica, Row> rows = new LinkedHashMap<>();
-        final double[] letIn;
-        final int[] retry;
-
-        Table(int number, Product first, int home, int products) {
-            this.number = number;
-            this.first = first;
-            this.home = home;
-            this.letIn = new double[products];
-            this.retry = new int[products];
-            Arrays.fill(letIn, -1);
-        }
-
-        boolean open(Replica r) {
-            return (first.kinds >> r.kind & 1) == 1 && (first.zones >> r.zone & 1) == 1
-                    && (home < 0 || home == r.zone);
-        }
-
-        boolean serves(Proxy proxy) {
-            return home < 0 || home == proxy.zone;
-        }
-    }
+    // ---- what the site states
 
-    public Choice(SplittableRandom chance, Product[] products) {
+    /** Products open to the same replicas share one table; own-zone products have one for each zone. */
+    public Choice(SplittableRandom chance, Product[] products, int zones) {
         this.chance = chance;
         this.products = products;
+        for (Product p : products) {
+            for (int home = p.homeOnly ? 0 : -1; home < (p.homeOnly ? zones : 0); home++) {
+                Table same = null;
+                for (Table t : tables) {
+                    if (t.like.kinds == p.kinds && t.like.zones == p.zones && t.home == home) {
+                        same = t;
+                    }
+                }
+                if (same == null) {
+                    same = new Table(tables.size(), p, home, products.length);
+                    tables.add(same);
+                }
+                same.products |= 1 << p.index;
+            }
+        }
     }
 
     public void roll(boolean pushed) {
-        this.pushed = pushed;
-        if (!pushed) {
+        asked = !pushed;
+        if (asked) {
             dueAt(Double.NEGATIVE_INFINITY, null);
         }
     }
@@ -185,72 +176,34 @@
         }
     }
 
-    public void listOpens(boolean whole, boolean cached) {
-        this.whole = whole;
-        this.cached = cached;
+    public void listOpens(boolean whole, boolean first) {
+        wholeList = whole;
+        firstList = first;
         named.clear();
+        news = true;
     }
 
     public void listed(long id, int zone, int kind, double weight, double startedAt, Stage stage) {
         Replica r = replicas.computeIfAbsent(id, Replica::new);
-        boolean restarted = r.stage != Stage.GONE && startedAt > r.startedAt;
-        boolean back = r.stage != Stage.READY && stage == Stage.READY;
+        r.entered |= stage == Stage.READY && (r.stage != Stage.READY || startedAt > r.startedAt);
         r.zone = zone;
         r.kind = kind;
         r.listedWeight = weight > 0 ? weight : 1;
         r.startedAt = startedAt;
         r.stage = stage;
         named.add(r);
-        if (stage == Stage.READY && (restarted || back)) {
-            enters(r, restarted);
-        } else if (stage == Stage.GONE) {
-            roll.remove(r);
-        }
-    }
-
-    /** A replica joins the roll, or starts anew on it: what was known of it is of an earlier life. */
-    private void enters(Replica r, boolean restarted) {
-        if (!roll.contains(r)) {
-            roll.add(r);
-        }
-        r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
-        r.heardAt = Double.NEGATIVE_INFINITY;
-        r.unanswered = 0;
-        r.out = r.zeroed = false;
-        r.deafUntil = restarted ? now + 2 * reportEvery : 0;
-        for (Table t : tables()) {
-            if (t.open(r)) {
-                Row row = t.rows.computeIfAbsent(r, x -> new Row(x, 0));
-                row.weight = cached && !young(r) ? listedShare(r, t) : start(t);
-            }
-        }
-        if (probes && !r.probing) {
-            r.probing = true;
-            dueAt(now + chance.nextDouble() * TURN, r);
-        }
     }
 
     public void listCloses() {
-        if (whole) {
-            for (Replica r : new ArrayList<>(roll)) {
-                if (!named.contains(r)) {
-                    r.stage = Stage.GONE;
-                    roll.remove(r);
-                }
-            }
-        }
-        if (cached) {
-            for (Table t : tables()) {
-                for (Row row : t.rows.values()) {
-                    row.weight = listedShare(row.replica, t) * (young(row.replica) ? coldShare(row.replica) : 1);
-                }
+        for (Replica r : replicas.values()) {
+            if (wholeList && !named.contains(r)) {
+                r.stage = Stage.GONE;
             }
         }
-        cached = false;
     }
 
     public void listFailed() {
-        if (!pushed) {
+        if (asked) {
             dueAt(now + TURN * (0.3 + chance.nextDouble()), null);
         }
     }
@@ -260,69 +213,22 @@
         if (r == null) {
             return;
         }
-        r.probing = false;
-        switch (answer) {
-            case OK -> {
-                r.unanswered = 0;
-                r.answered++;
-            }
-            case UNREACHABLE -> missed(r, 2);
-            case SILENT, ERROR -> missed(r, 1);
-            default -> {
-                // busy or draining: it lives
-            }
-        }
+        news = true;
         reported(r, load);
-        if (r.stage == Stage.READY) {
-            r.probing = true;
-            dueAt(now + (r.unanswered > 0 && !r.out ? TURN / 4 : probePace()), r);
-        }
-    }
-
-    /**
-     * A replica that answers no probe is out. But while it still settles txns, only if its whole zone is as
-     * silent and the others are not (a cut or a lost zone), or if hardly any other is (a hang, a crash):
-     * silence here and there means that probes stand in full queues, and counts as a report of full load.
-     */
-    private void missed(Replica r, int weight) {
-        double mates = 0;
-        double mute = 0;
-        double muteMates = 0;
-        for (Replica other : roll) {
-            boolean silent = other == r || other.unanswered > 0;
-            mates += other.zone == r.zone ? 1 : 0;
-            muteMates += silent && other.zone == r.zone ? 1 : 0;
-            mute += silent ? 1 : 0;
-        }
-        boolean together = muteMates > 1 && muteMates >= 0.8 * mates && mute - muteMates < 0.3 * (roll.size() - mates);
-        r.answered = 0;
-        r.unanswered += together ? 2 * weight : weight;
-        boolean settles = weight == 1 && now - r.settledAt < 1.5 * reportEvery;
-        if (settles) {
-            reported(r, 1);
-        }
-        if (r.unanswered >= 4 && (!settles || together || mute <= Math.max(1, 0.15 * roll.size()))) {
-            leaves(r, 0, 0.25, "no answer to probes" + (together ? ", nor from its zone" : ""));
-        }
-    }
-
-    private void leaves(Replica r, double hold, double stay, String why) {
-        if (!r.out && mayLeave(r, stay)) {
-            r.out = true;
-            r.outUntil = now + hold;
+        if (answer == Answer.OK) {
+            r.unanswered = 0;
+            r.answered++;
+        } else if (answer != Answer.BUSY && answer != Answer.NONE) {
+            r.unanswered += answer == Answer.UNREACHABLE ? 2 : 1;
             r.answered = 0;
-            note("out " + r.id + ": " + why);
-        }
-    }
-
-    private void reported(Replica r, double load) {
-        if (load >= 0) {
-            r.load = Math.min(load, 1);
-            r.heardAt = now;
+            if (answer == Answer.SILENT && settles(r)) {
+                reported(r, 1);
+            }
         }
+        r.probing = false;
     }
 
-    public void met(long id, int zone, int tries, int voided, double answerTime, double span, double load) {
+    public void met(long id, int tries, int voided, double answerTime, double load) {
         Replica r = replicas.get(id);
         if (r == null || tries <= 0 || now < r.deafUntil) {
             return;
@@ -331,22 +237,28 @@
         r.settled += tries - bad;
         r.tries += tries;
         r.voided += bad;
+        r.waited += (tries - bad) * Math.max(0, answerTime);
         if (tries > bad) {
             r.settledAt = now;
         }
-        r.waited += (tries - bad) * Math.max(0, answerTime);
         reported(r, load);
     }
 
-    public void came(int proxy, int product, int count, int unanswered, double span) {
+    private void reported(Replica r, double load) {
+        if (load >= 0) {
+            r.load = Math.min(load, 1);
+            r.heardAt = now;
+        }
+    }
+
+    public void came(int proxy, int product, int count, double span) {
         Proxy p = proxies.get(proxy);
         if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
-            double rate = count / span * 1000;
-            p.demand[product] += (rate - p.demand[product]) * 0.5;
+            p.demand[product] += (count / span * 1000 - p.demand[product]) * 0.5;
         }
     }
 
-    public void joined(int id, int zone, double usual, boolean bare) {
+    public void joined(int id, int zone, double usual) {
         Proxy p = new Proxy(id, zone, products.length);
         for (int k = 0; k < products.length; k++) {
             p.demand[k] = Math.max(0, usual) / products.length;
@@ -362,10 +274,15 @@
 
     /** Gives the next order, if there is one. */
     public boolean decide(Orders orders) {
+        if (news) {
+            news = false;
+            follow();
+            judge();
+        }
         if (turnDue) {
             turnDue = false;
-            turn();
             ordinary = true;
+            turn();
             orders.timer(TURN_BELL, now + TURN);
             return true;
         }
@@ -401,23 +318,23 @@
         return false;
     }
 
-    /** The next line to order: removals first, then cuts to a restarted one, then the largest change. */
+    /** The next line to order: removals first, then cuts that can't wait, then the largest change. */
     private boolean lines(Orders orders) {
         Table table = null;
-        Row next = null;
+        Table.Row next = null;
         double most = 0;
-        for (Table t : tables()) {
-            for (Row row : t.rows.values()) {
+        for (Table t : tables) {
+            for (Table.Row row : t.rows.values()) {
                 double want = want(row);
                 if (want == row.sent) {
                     continue;
                 }
                 boolean must = row.sent > 0 && row.replica.stage != Stage.READY;
-                boolean urgent = must || row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent);
+                boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent);
                 double change = Math.abs(want - row.sent) / Math.max(want, row.sent);
-                double rank = must ? 4 : urgent ? 3 : change;
-                if ((urgent || ordinary && change >= CHANGE || empty(t)) && rank > most
-                        && channel.admits(audience(t), 1, now, must ? 1 : urgent ? 0.75 : 0.5)) {
+                double rank = must ? 3 : soon ? 2 : change;
+                if ((must || soon || ordinary && change >= CHANGE || empty(t)) && rank > most
+                        && channel.admits(audience(t), 1, now, must ? BINDING : soon ? URGENT : ORDINARY)) {
                     table = t;
                     next = row;
                     most = rank;
@@ -430,21 +347,23 @@
         channel.book(audience(table), 1, now);
         next.sent = want(next);
         orders.line(table.number, next.replica, next.sent);
-        if (next.sent == 0 && next.replica.stage == Stage.GONE) {
+        if (next.replica.stage == Stage.GONE) {
             table.rows.remove(next.replica);
         }
         return true;
     }
 
+    /** Puts joined proxies on the tables, once those have lines. */
     private boolean binds(Orders orders) {
-        for (Table t : tables()) {
+        for (Table t : tables) {
             for (Proxy p : proxies.values()) {
-                if ((p.tables >> t.number & 1) == 0 && t.serves(p) && !empty(t)) {
-                    int lines = 1 + t.rows.size() + Integer.bitCount(t.mask);
-                    if (channel.admits(List.of(p), lines, now, 0.75)) {
+                boolean bound = (p.tables >> t.number & 1) == 1;
+                if (!bound && (t.home < 0 || t.home == p.zone) && !empty(t)) {
+                    int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
+                    if (channel.admits(List.of(p), lines, now, URGENT)) {
                         channel.book(List.of(p), lines, now);
                         p.tables |= 1L << t.number;
-                        orders.bind(t.number, p, t.mask);
+                        orders.bind(t.number, p, t.products);
                         return true;
                     }
                 }
@@ -453,23 +372,22 @@
         return false;
     }
 
+    /** Levels, and further tries: only after proof that nothing ran, and none that would feed full queues. */
     private boolean levels(Orders orders) {
-        for (Table t : tables()) {
+        for (Table t : tables) {
             for (Product product : products) {
-                if ((t.mask >> product.index & 1) == 0) {
+                int k = product.index;
+                if ((t.products >> k & 1) == 0) {
                     continue;
                 }
-                double was = t.letIn[product.index];
-                int retry = strained ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                boolean small = Math.abs(letIn - was) < 0.05 * Math.max(was, letIn) || letIn == was;
-                if (was >= 0 && (!ordinary || small && t.retry[product.index] == retry)) {
-                    continue;
-                }
-                if (channel.admits(audience(t), 1, now, 0.5)) {
+                int retry = strained ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
+                double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
+                boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
+                if ((t.letIn[k] < 0 || moves) && channel.admits(audience(t), 1, now, ORDINARY)) {
                     channel.book(audience(t), 1, now);
-                    t.letIn[product.index] = letIn;
-                    t.retry[product.index] = retry;
+                    t.letIn[k] = letIn;
+                    t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
                     return true;
                 }
@@ -478,11 +396,101 @@
         return false;
     }
 
-    // ---- the turn: what the weights should be
+    // ---- the list and health: after each piece of news
+
+    /** Makes the roll and the tables follow the list; one that starts anew comes in through the slow start. */
+    private void follow() {
+        roll.clear();
+        for (Replica r : replicas.values()) {
+            if (r.stage == Stage.READY) {
+                roll.add(r);
+            }
+        }
+        for (Replica r : roll) {
+            if (r.entered) {
+                r.deafUntil = firstList ? 0 : now + 2 * reportEvery;
+                r.unanswered = 0;
+                r.out = r.zeroed = false;
+                r.heardAt = r.settledAt = Double.NEGATIVE_INFINITY;
+                forget(r);
+                for (Table t : tables) {
+                    if (open(t, r)) {
+                        t.rows.computeIfAbsent(r, Table.Row::new).weight =
+                                firstList ? listedShare(t, r) * coldShare(r) : start(t);
+                    }
+                }
+            }
+            if (probes && !r.probing) {
+                r.probing = true;
+                dueAt(now + (r.entered ? chance.nextDouble() * TURN
+                        : r.unanswered > 0 && !r.out ? TURN / 4 : probePace()), r);
+            }
+            r.entered = false;
+        }
+        firstList = false;
+    }
+
+    private void judge() {
+        for (Replica r : roll) {
+            if (r.unanswered >= SILENT_AFTER / 2 && !r.out) {
+                silent(r);
+            }
+        }
+        for (Table t : tables) {
+            boolean none = true;
+            for (Table.Row row : t.rows.values()) {
+                none &= want(row) == 0;
+            }
+            for (Table.Row row : t.rows.values()) {
+                if (none && row.replica.stage == Stage.READY) {
+                    row.replica.out = row.replica.zeroed = false;
+                    note("back " + row.replica.id + ": no other is left");
+                }
+            }
+        }
+    }
+
+    /**
+     * A replica that answers no probe is out. But while it still settles txns, only if its whole zone is as
+     * silent and the others are not (a cut or a lost zone), or if hardly any other is (a hang, a crash):
+     * silence here and there means that probes stand in full queues, and counts as a report of full load.
+     */
+    private void silent(Replica r) {
+        double mates = 0;
+        double mute = 0;
+        double muteMates = 0;
+        for (Replica other : roll) {
+            mates += other.zone == r.zone ? 1 : 0;
+            muteMates += other.unanswered > 0 && other.zone == r.zone ? 1 : 0;
+            mute += other.unanswered > 0 ? 1 : 0;
+        }
+        boolean together = muteMates > 1 && muteMates >= 0.8 * mates
+                && mute - muteMates < 0.3 * (roll.size() - mates);
+        boolean lone = mute <= Math.max(1, 0.15 * roll.size());
+        if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
+            leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
+        }
+    }
+
+    /** Whether reports told of settled txns of late. */
+    private boolean settles(Replica r) {
+        return now - r.settledAt < 1.5 * reportEvery;
+    }
+
+    private void leaves(Replica r, double hold, double stay, String why) {
+        if (mayLeave(r, stay)) {
+            r.out = true;
+            r.outUntil = now + hold;
+            r.answered = 0;
+            note("out " + r.id + ": " + why);
+        }
+    }
+
+    // ---- the turn: what weights and levels should be
 
     private void turn() {
         double fade = Math.exp(-TURN / MEMORY);
-        double quick = 1 - Math.exp(-TURN / SHORT_MEMORY);
+        double quick = Math.exp(-TURN / SHORT_MEMORY);
         double settled = 0;
         double busy = 0;
         double load = 0;
@@ -496,13 +504,11 @@
             boolean fresh = now - r.heardAt < 2 * reportEvery + TURN;
             r.busyTime = r.busyTime * fade + (fresh ? r.load * TURN : 0);
             r.settled *= fade;
-            if (fresh) {
-                r.steadyLoad += (r.load - r.steadyLoad) * quick;
-            }
+            r.steadyLoad = fresh ? r.load + (r.steadyLoad - r.load) * quick : r.steadyLoad;
             if (!out(r) && r.settled > 0) {
+                double weight = part(r);
                 settled += r.settled;
                 busy += r.busyTime;
-                double weight = tables().get(0).rows.get(r) == null ? 0 : tables().get(0).rows.get(r).weight;
                 load += r.steadyLoad * weight;
                 latest += r.load * weight;
                 weights += weight;
@@ -514,40 +520,40 @@
         }
         meanLoad = weights == 0 ? 0 : load / weights;
         voidShare = voided / (tries + 1);
-        double answerTime = waited / (tries - voided + 1);
-        for (Replica r : roll) {
-            health(r);
-            r.tries *= 1 - quick;
-            r.voided *= 1 - quick;
-            r.waited *= 1 - quick;
-        }
-        double perBusy = busy > 0 ? settled / busy : 0;
         double meanListed = 0;
         for (Replica r : roll) {
+            health(r);
+            r.tries *= quick;
+            r.voided *= quick;
+            r.waited *= quick;
             meanListed += r.listedWeight / roll.size();
         }
         for (Replica r : roll) {
             double listed = r.listedWeight / meanListed;
-            double met = in == 0 ? 0 : PRIOR * settled / in;
-            r.speed = perBusy <= 0 ? listed
-                    : (r.settled + met * listed) / (r.busyTime + PRIOR * busy / in) / perBusy;
+            r.speed = busy <= 0 ? listed : (r.settled + PRIOR * settled / in * listed)
+                    / (r.busyTime + PRIOR * busy / in) * busy / settled;
         }
-        admit(weights == 0 ? 0 : latest / weights, answerTime);
-        for (Table t : tables()) {
-            step(t, meanLoad > 0 ? meanLoad : USUAL_LOAD);
+        admit(weights == 0 ? 0 : latest / weights, waited / (tries - voided + 1));
+        for (Table t : tables) {
+            step(t);
         }
     }
 
-    /** Halfway to the inverse of load per share received, with growth held for what comes up from little. */
-    private void step(Table t, double usual) {
+    /**
+     * Halfway to the inverse of load per share received, with growth held for what comes up from little. A
+     * busy one shrinks by up to a quarter at once: it guards against slow, paused and crowded machines alike.
+     */
+    private void step(Table t) {
         double mean = mean(t);
-        for (Row row : t.rows.values()) {
+        double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
+        for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
             if (r.stage != Stage.READY || out(r)) {
                 continue;
             }
             double perShare = usual / Math.max(r.speed, 1e-3);
-            double target = SCALE / Math.max(LEAST_LOAD, perShare) * narrowed(t, r) * sound(r);
+            double sound = 1 - r.voided / (r.tries + 2);
+            double target = SCALE / Math.max(LEAST_LOAD, perShare) * room(t, r) * sound * sound;
             if (r.steadyLoad > BUSY && r.steadyLoad > meanLoad) {
                 target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
             }
@@ -557,23 +563,23 @@
         }
     }
 
-    /** Products open to fewer replicas load those; the wider table leaves room for them. */
-    private double narrowed(Table t, Replica r) {
+    /** Products open to fewer replicas load those; a wider table leaves room for them. */
+    private double room(Table t, Replica r) {
         double all = 0;
         double narrow = 0;
         double speeds = 0;
         for (Replica other : roll) {
             speeds += out(other) ? 0 : other.speed;
         }
-        for (Table other : tables()) {
+        for (Table other : tables) {
             double demand = 0;
             for (Product p : products) {
-                demand += (other.mask >> p.index & 1) == 1 ? p.demand * p.level : 0;
+                demand += (other.products >> p.index & 1) == 1 ? p.demand * p.level : 0;
             }
             all += demand;
-            if (other != t && other.rows.size() < t.rows.size() && other.open(r)) {
+            if (other != t && other.rows.size() < t.rows.size() && open(other, r)) {
                 double open = 0;
-                for (Row row : other.rows.values()) {
+                for (Table.Row row : other.rows.values()) {
                     open += out(row.replica) ? 0 : row.replica.speed;
                 }
                 narrow += open > 0 ? demand / open : 0;
@@ -582,44 +588,46 @@
         return all > 0 && speeds > 0 ? Math.max(0.05, 1 - narrow * speeds / all) : 1;
     }
 
-    private double sound(Replica r) {
-        double share = r.voided / (r.tries + 2);
-        return (1 - share) * (1 - share);
-    }
-
+    /**
+     * Out when its tries are voided far more often than the fleet's (a quick failer at low load, a hang), in a
+     * busy one more so, for full queues void tries as well; back when it has sat its time and answers probes.
+     */
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
-        if (!r.out && r.voided >= 2 && share > 0.35 + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
-            r.sentence = now - r.outUntil < 20_000 ? Math.min(16_000, r.sentence * 2) : 4000;
-            leaves(r, r.sentence, 0.5, "voided " + percent(share) + ", all " + percent(voidShare));
+        if (!r.out && r.voided >= 2 && share > SICK + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
+            r.sentence = now - r.outUntil < LONGEST_SENTENCE ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
+            leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
         } else if (r.out && now >= r.outUntil && (!probes || r.answered >= 2)) {
             r.out = false;
             comesBack(r, "answers");
         }
-        boolean past = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
-        if (!r.zeroed && past && mayLeave(r, 0.5)) {
+        boolean full = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
+        if (!r.zeroed && full && mayLeave(r, STAY_SICK)) {
             r.zeroed = true;
             note("zeroed " + r.id + ": load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
-        } else if (r.zeroed && !past) {
+        } else if (r.zeroed && !full) {
             r.zeroed = false;
             comesBack(r, "load " + percent(r.steadyLoad));
         }
     }
 
     private void comesBack(Replica r, String why) {
-        for (Table t : tables()) {
-            Row row = t.rows.get(r);
-            if (row != null) {
-                row.weight = start(t);
+        for (Table t : tables) {
+            if (t.rows.containsKey(r)) {
+                t.rows.get(r).weight = start(t);
             }
         }
-        r.busyTime = r.settled = r.tries = r.voided = r.waited = 0;
+        forget(r);
         note("back " + r.id + ": " + why);
     }
 
+    private void forget(Replica r) {
+        r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
+    }
+
     /**
-     * Lets in what the replicas can do. Use is the mean load; a load
-     * stops at all cores busy, so voided tries and slow answers count on top, and queues drain. The products that bring least are declined first.
+     * Lets in what the replicas can do, those products first that bring most. Use is the mean load; a load
+     * stops at all cores busy, so voided tries and slow answers count on top, and queues drain.
      */
     private void admit(double use, double answerTime) {
         double sum = 0;
@@ -635,7 +643,7 @@
         if (sum <= 0) {
             return;
         }
-        double late = Math.max(0, answerTime / (slaTime / sum) - 0.5);
+        double late = Math.max(0, answerTime * sum / slaTime - 0.5);
         double full = late > 0.2 && late + voidShare > 0.4 ? Math.max(1, use) : use;
         double strain = full * (1 + late + voidShare);
         boolean was = strained;
@@ -653,7 +661,6 @@
             note((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
                     + ", voided " + percent(voidShare));
         }
-        double left = admitted * sum;
         for (Product p : products) {
             double higher = 0;
             double same = 0;
@@ -661,22 +668,49 @@
                 higher += other.revenue > p.revenue ? other.demand : 0;
                 same += other.revenue == p.revenue ? other.demand : 0;
             }
-            p.level = same <= 0 ? 1 : Math.max(LEAST_LEVEL, Math.min(1, (left - higher) / same));
+            double level = same <= 0 ? 1 : (admitted * sum - higher) / same;
+            p.level = admitted >= 1 ? 1 : Math.max(LEAST_LEVEL, Math.min(1, level));
+        }
+    }
+
+    /** The rate at each proxy that lets in the product's share: those that get little keep all of it. */
+    private double rate(Product product) {
+        if (product.level >= 1) {
+            return UNLIMITED;
+        }
+        List<Double> demands = new ArrayList<>();
+        for (Proxy p : proxies.values()) {
+            demands.add(p.demand[product.index]);
+        }
+        demands.sort(null);
+        double left = product.level * product.demand;
+        for (int i = 0; i < demands.size(); i++) {
+            double each = left / (demands.size() - i);
+            if (demands.get(i) >= each) {
+                return Math.max(0.1, each);
+            }
+            left -= demands.get(i);
         }
+        return UNLIMITED;
     }
 
     // ---- shared by the decisions
 
+    private boolean open(Table t, Replica r) {
+        return (t.like.kinds >> r.kind & 1) == 1 && (t.like.zones >> r.zone & 1) == 1
+                && (t.home < 0 || t.home == r.zone);
+    }
+
     private boolean out(Replica r) {
         return r.out || r.zeroed;
     }
 
-    private double want(Row row) {
+    private double want(Table.Row row) {
         return row.replica.stage != Stage.READY || out(row.replica) ? 0 : row.weight;
     }
 
     private boolean empty(Table t) {
-        for (Row row : t.rows.values()) {
+        for (Table.Row row : t.rows.values()) {
             if (row.sent > 0) {
                 return false;
             }
@@ -684,19 +718,16 @@
         return true;
     }
 
-    /** Whether a replica may be kept out: some others must stay, or the given share of all. */
+    /** Whether enough others stay in each of its tables: the rest must not tip over for want of one. */
     private boolean mayLeave(Replica r, double share) {
-        for (Table t : tables()) {
-            if (!t.rows.containsKey(r)) {
-                continue;
-            }
+        for (Table t : tables) {
             int listed = 0;
             int stay = 0;
-            for (Row row : t.rows.values()) {
+            for (Table.Row row : t.rows.values()) {
                 listed += row.replica.stage == Stage.READY ? 1 : 0;
                 stay += row.replica != r && want(row) > 0 ? 1 : 0;
             }
-            if (stay < Math.max(1, listed * share)) {
+            if (t.rows.containsKey(r) && stay < Math.max(1, listed * share)) {
                 return false;
             }
         }
@@ -706,7 +737,7 @@
     private double mean(Table t) {
         double sum = 0;
         int n = 0;
-        for (Row row : t.rows.values()) {
+        for (Table.Row row : t.rows.values()) {
             if (want(row) > 0) {
                 sum += row.weight;
                 n++;
@@ -719,16 +750,23 @@
         return Math.max(1, Math.rint(mean(t) * SLOW_START));
     }
 
-    private double listedShare(Replica r, Table t) {
+    private double listedShare(Table t, Replica r) {
         double sum = 0;
         int n = 0;
         for (Replica other : roll) {
-            if (t.open(other)) {
-                sum += other.listedWeight;
-                n++;
-            }
+            sum += open(t, other) ? other.listedWeight : 0;
+            n += open(t, other) ? 1 : 0;
         }
-        return Math.max(1, Math.rint(SCALE / USUAL_LOAD * (n == 0 ? 1 : r.listedWeight * n / sum)));
+        return Math.max(1, Math.rint(SCALE / USUAL_LOAD * r.listedWeight * n / sum));
+    }
+
+    /** How much traffic the tables send to it, beside the others. */
+    private double part(Replica r) {
+        double part = 0;
+        for (Table t : tables) {
+            part += t.rows.containsKey(r) ? t.rows.get(r).sent : 0;
+        }
+        return part;
     }
 
     private boolean young(Replica r) {
@@ -736,7 +774,7 @@
     }
 
     private double coldShare(Replica r) {
-        return Math.min(1, coldFrom + (1 - coldFrom) * (now - r.startedAt) / warmAfter);
+        return young(r) ? coldFrom + (1 - coldFrom) * (now - r.startedAt) / warmAfter : 1;
     }
 
     private double probePace() {
@@ -744,33 +782,7 @@
         for (Product p : products) {
             sum += p.demand;
         }
-        return Math.max(TURN, sum > 0 ? Math.min(4 * TURN, roll.size() / (0.25 * sum) * 1000) : TURN);
-    }
-
-    /** The rate at each proxy that lets in the product's share: those with little keep all of theirs. */
-    private double rate(Product product) {
-        double most = 0;
-        for (Proxy p : proxies.values()) {
-            most = Math.max(most, p.demand[product.index]);
-        }
-        if (product.level >= 1 || most <= 0) {
-            return UNLIMITED;
-        }
-        double low = 0;
-        double high = most;
-        for (int i = 0; i < 20; i++) {
-            double middle = (low + high) / 2;
-            double sum = 0;
-            for (Proxy p : proxies.values()) {
-                sum += Math.min(middle, p.demand[product.index]);
-            }
-            if (sum < product.level * product.demand) {
-                low = middle;
-            } else {
-                high = middle;
-            }
-        }
-        return Math.max(0.1, high);
+        return sum <= 0 ? TURN : Math.max(TURN, Math.min(4 * TURN, roll.size() / (PROBE_SHARE * sum) * 1000));
     }
 
     private List<Proxy> audience(Table t) {
@@ -783,24 +795,6 @@
         return bound;
     }
 
-    /** Products with the same replicas open to them share a table; own-zone ones have one for each zone. */
-    private List<Table> tables() {
-        if (tables.isEmpty()) {
-            for (Product p : products) {
-                Table same = null;
-                for (Table t : tables) {
-                    same = t.first.kinds == p.kinds && t.first.zones == p.zones && !p.homeOnly ? t : same;
-                }
-                if (same == null) {
-                    same = new Table(tables.size(), p, -1, products.length);
-                    tables.add(same);
-                }
-                same.mask |= 1 << p.index;
-            }
-        }
-        return tables;
-    }
-
     private void dueAt(double at, Replica r) {
         due.add(new Due(at, dueCount++, r));
     }
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -9,35 +9,35 @@
     /** ms on the host's clock; 0 if long past. */
     double startedAt;
     Choice.Stage stage = Choice.Stage.GONE;
+    /** New on the list, or started anew, since the tables were last made to follow it. */
+    boolean entered;
 
     /** Last reported share of busy cores, the same smoothed, and when the last report came. */
     double load;
     double steadyLoad;
     double heardAt = Double.NEGATIVE_INFINITY;
-    /** Faded sums: ms of busy time, and tries by outcome. */
+    /** When a report last told of a settled try; reports before deafUntil tell of an earlier life. */
+    double settledAt = Double.NEGATIVE_INFINITY;
+    double deafUntil;
+    /** Sums that fade with age: ms of busy time, tries by outcome, and the settled ones' answer times. */
     double busyTime;
     double settled;
     double tries;
     double voided;
-    /** Sum of the settled tries' answer times. */
     double waited;
-
-    /** The least weight by the speed learnt so far, and what its health leaves of it. */
+    /** Learnt speed; 1 is the mean. */
     double speed = 1;
 
     boolean probing;
-    /** Probes in a row without, and with, an answer. */
-    double unanswered;
+    /** Probes in a row without an answer, a refused connection counting for two; and with one. */
+    int unanswered;
     int answered;
-    /** Kept out of the tables for its health, at least until then; and for its load. */
+    /** Kept out of the tables for its health, until when at least, and for how long the last time. */
     boolean out;
     double outUntil = Double.NEGATIVE_INFINITY;
     double sentence;
+    /** Kept out of the tables for its load. */
     boolean zeroed;
-    /** When a report last told of a settled try. */
-    double settledAt = Double.NEGATIVE_INFINITY;
-    /** Reports before this time tell of an earlier life. */
-    double deafUntil;
 
     Replica(long id) {
         this.id = id;
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -169,12 +169,10 @@
             case "TOPOLOGY" -> topology(choice, line.needs(4));
             case "CHECK_RESULT" -> choice.probed(line.needs(5).whole(2), answer(line.small(3)),
                     line.ofRow(5, here.loadColumn));
-            case "DIGEST" -> choice.met(line.needs(8).whole(3), line.small(2), line.small(6), line.small(4),
-                    line.ms(5), line.ms(7), line.ofRow(8, here.loadColumn));
-            case "PROXY_STATS" -> choice.came(line.needs(6).small(5), line.small(2), line.small(4), line.small(6),
-                    line.ms(3));
-            case "CHECKED_IN" -> choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0),
-                    line.flag(5));
+            case "DIGEST" -> choice.met(line.needs(8).whole(3), line.small(6), line.small(4), line.ms(5),
+                    line.ofRow(8, here.loadColumn));
+            case "PROXY_STATS" -> choice.came(line.needs(6).small(5), line.small(2), line.small(4), line.ms(3));
+            case "CHECKED_IN" -> choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0));
             case "STREAM_DOWN" -> choice.left(line.needs(2).small(2));
             case "HEARD", "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
                 // peers' notes and receipts, which nothing asks for, and the slices of other sites
--- a/src/main/java/sprucelanding/wire/Opening.java
+++ b/src/main/java/sprucelanding/wire/Opening.java
@@ -49,7 +49,7 @@
         JsonObject info = part("familyInfo");
         JsonObject contract = part("contract");
         JsonObject limits = part("ceilings");
-        Choice choice = new Choice(new SplittableRandom(seed), products(info));
+        Choice choice = new Choice(new SplittableRandom(seed), products(info), zones());
         choice.roll(root.getString("membershipMode", "pushed").equals("pushed"));
         choice.channel(info.getDouble("egressPerS", 1000) / 1000, info.getDouble("head", 0),
                 info.getDouble("queueCap", 1000), info.getInt("updateCap", 0), ms(info, "reloadSpanUs", 10_000_000));
@@ -101,6 +101,11 @@
         return mask;
     }
 
+    private int zones() {
+        JsonValue zones = root.get("zones");
+        return zones != null && zones.isArray() ? zones.asArray().size() : 0;
+    }
+
     private JsonObject part(String name) {
         JsonValue part = root.get(name);
         return part != null && part.isObject() ? part.asObject() : new JsonObject();
