--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Decides what one governor tells its proxies. The host opens it with what the site states (the constructor,
@@ -43,11 +45,11 @@
     private static final double CHANGE = 0.1;
     /** Load assumed while none is known. */
     private static final double USUAL_LOAD = 0.5;
-    /** Past this load a weight shrinks at once; past this mean load queues grow; and levels steer for this. */
+    /** Past this load a weight shrinks at once; past this mean load queues grow; levels steer for this. */
     private static final double BUSY = 0.8;
     private static final double SATURATED = 0.9;
     private static final double GOAL_LOAD = 0.85;
-    /** The zeroing threshold: a few cores look busy for a report at 80%, so it takes all of them for longer. */
+    /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
     private static final double ZERO_PAST = 0.95;
     /** A replica is zeroed for load only if it stands this far above the rest. */
     private static final double ABOVE_REST = 1.5;
@@ -98,22 +100,13 @@
     private boolean wholeList;
     private boolean firstList;
     private final List<Replica> named = new ArrayList<>();
-    /** Share of all demand that is let in; what it was over the last turns, for reports tell of the oldest. */
+    /** Share of all demand that is let in, and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private boolean strained;
     private double meanLoad;
     private double voidShare;
 
-    /** One due time: to probe a replica, or (without one) to ask for the list. */
-    private record Due(double at, long order, Replica replica) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            int byTime = Double.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-    }
-
     // ---- what the site states
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
@@ -294,8 +287,8 @@
             return true;
         }
         ordinary = false;
-        if (!due.isEmpty() && due.first().at < dueBell) {
-            dueBell = due.first().at;
+        if (!due.isEmpty() && due.first().at() < dueBell) {
+            dueBell = due.first().at();
             orders.timer(DUE_BELL, dueBell);
             return true;
         }
@@ -303,8 +296,8 @@
     }
 
     private boolean dues(Orders orders) {
-        while (!due.isEmpty() && due.first().at <= now) {
-            Replica r = due.pollFirst().replica;
+        while (!due.isEmpty() && due.first().at() <= now) {
+            Replica r = due.pollFirst().replica();
             if (r == null) {
                 orders.watchList();
                 return true;
@@ -398,7 +391,7 @@
 
     // ---- the list and health: after each piece of news
 
-    /** Makes the roll and the tables follow the list; one that starts anew comes in through the slow start. */
+    /** Makes the tables follow the list; one that starts anew comes in through the slow start. */
     private void follow() {
         roll.clear();
         for (Replica r : replicas.values()) {
@@ -437,15 +430,11 @@
             }
         }
         for (Table t : tables) {
-            boolean none = true;
-            for (Table.Row row : t.rows.values()) {
-                none &= want(row) == 0;
-            }
-            for (Table.Row row : t.rows.values()) {
-                if (none && row.replica.stage == Stage.READY) {
+            if (sum(t.rows.values(), this::want) == 0) {
+                for (Table.Row row : t.rows.values()) {
                     row.replica.out = row.replica.zeroed = false;
-                    note("back " + row.replica.id + ": no other is left");
                 }
+                note("back to the list: no line is left in table " + t.number);
             }
         }
     }
@@ -456,14 +445,9 @@
      * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
     private void silent(Replica r) {
-        double mates = 0;
-        double mute = 0;
-        double muteMates = 0;
-        for (Replica other : roll) {
-            mates += other.zone == r.zone ? 1 : 0;
-            muteMates += other.unanswered > 0 && other.zone == r.zone ? 1 : 0;
-            mute += other.unanswered > 0 ? 1 : 0;
-        }
+        double mates = sum(roll, x -> x.zone == r.zone ? 1 : 0);
+        double mute = sum(roll, x -> x.unanswered > 0 ? 1 : 0);
+        double muteMates = sum(roll, x -> x.unanswered > 0 && x.zone == r.zone ? 1 : 0);
         boolean together = muteMates > 1 && muteMates >= 0.8 * mates
                 && mute - muteMates < 0.3 * (roll.size() - mates);
         boolean lone = mute <= Math.max(1, 0.15 * roll.size());
@@ -491,49 +475,35 @@
     private void turn() {
         double fade = Math.exp(-TURN / MEMORY);
         double quick = Math.exp(-TURN / SHORT_MEMORY);
-        double settled = 0;
-        double busy = 0;
-        double load = 0;
-        double latest = 0;
-        double weights = 0;
-        double voided = 0;
-        double tries = 0;
-        double waited = 0;
-        int in = 0;
         for (Replica r : roll) {
             boolean fresh = now - r.heardAt < 2 * reportEvery + TURN;
             r.busyTime = r.busyTime * fade + (fresh ? r.load * TURN : 0);
             r.settled *= fade;
             r.steadyLoad = fresh ? r.load + (r.steadyLoad - r.load) * quick : r.steadyLoad;
-            if (!out(r) && r.settled > 0) {
-                double weight = part(r);
-                settled += r.settled;
-                busy += r.busyTime;
-                load += r.steadyLoad * weight;
-                latest += r.load * weight;
-                weights += weight;
-                in++;
-            }
-            tries += r.tries;
-            voided += r.voided;
-            waited += r.waited;
         }
-        meanLoad = weights == 0 ? 0 : load / weights;
+        List<Replica> in = roll.stream().filter(r -> !out(r) && r.settled > 0).toList();
+        double settled = sum(in, r -> r.settled);
+        double busy = sum(in, r -> r.busyTime);
+        double weights = sum(in, this::part);
+        double load = weights == 0 ? 0 : sum(in, r -> r.load * part(r)) / weights;
+        meanLoad = weights == 0 ? 0 : sum(in, r -> r.steadyLoad * part(r)) / weights;
+        double tries = sum(roll, r -> r.tries);
+        double voided = sum(roll, r -> r.voided);
+        double answerTime = sum(roll, r -> r.waited) / (tries - voided + 1);
         voidShare = voided / (tries + 1);
-        double meanListed = 0;
         for (Replica r : roll) {
             health(r);
             r.tries *= quick;
             r.voided *= quick;
             r.waited *= quick;
-            meanListed += r.listedWeight / roll.size();
         }
+        double listed = sum(roll, r -> r.listedWeight) / roll.size();
         for (Replica r : roll) {
-            double listed = r.listedWeight / meanListed;
-            r.speed = busy <= 0 ? listed : (r.settled + PRIOR * settled / in * listed)
-                    / (r.busyTime + PRIOR * busy / in) * busy / settled;
+            r.speed = busy <= 0 ? r.listedWeight / listed
+                    : (r.settled + PRIOR * settled / in.size() * r.listedWeight / listed)
+                    / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
-        admit(weights == 0 ? 0 : latest / weights, waited / (tries - voided + 1));
+        admit(load, answerTime);
         for (Table t : tables) {
             step(t);
         }
@@ -565,27 +535,24 @@
 
     /** Products open to fewer replicas load those; a wider table leaves room for them. */
     private double room(Table t, Replica r) {
-        double all = 0;
+        double speeds = sum(roll, x -> out(x) ? 0 : x.speed);
+        double all = sum(tables, this::demand);
         double narrow = 0;
-        double speeds = 0;
-        for (Replica other : roll) {
-            speeds += out(other) ? 0 : other.speed;
-        }
         for (Table other : tables) {
-            double demand = 0;
-            for (Product p : products) {
-                demand += (other.products >> p.index & 1) == 1 ? p.demand * p.level : 0;
-            }
-            all += demand;
             if (other != t && other.rows.size() < t.rows.size() && open(other, r)) {
-                double open = 0;
-                for (Table.Row row : other.rows.values()) {
-                    open += out(row.replica) ? 0 : row.replica.speed;
-                }
-                narrow += open > 0 ? demand / open : 0;
+                double open = sum(other.rows.values(), row -> out(row.replica) ? 0 : row.replica.speed);
+                narrow += open > 0 ? demand(other) / open : 0;
             }
         }
-        return all > 0 && speeds > 0 ? Math.max(0.05, 1 - narrow * speeds / all) : 1;
+        return all > 0 && speeds > 0 ? Math.max(LEAST_LOAD, 1 - narrow * speeds / all) : 1;
+    }
+
+    private double demand(Table t) {
+        double demand = 0;
+        for (Product p : products) {
+            demand += (t.products >> p.index & 1) == 1 ? p.demand * p.level : 0;
+        }
+        return demand;
     }
 
     /**
@@ -595,7 +562,8 @@
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
         if (!r.out && r.voided >= 2 && share > SICK + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
-            r.sentence = now - r.outUntil < LONGEST_SENTENCE ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
+            r.sentence = now - r.outUntil < LONGEST_SENTENCE
+                    ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
             leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
         } else if (r.out && now >= r.outUntil && (!probes || r.answered >= 2)) {
             r.out = false;
@@ -630,16 +598,11 @@
      * stops at all cores busy, so voided tries and slow answers count on top, and queues drain.
      */
     private void admit(double use, double answerTime) {
-        double sum = 0;
-        double slaTime = 0;
         for (Product p : products) {
-            p.demand = 0;
-            for (Proxy proxy : proxies.values()) {
-                p.demand += proxy.demand[p.index];
-            }
-            sum += p.demand;
-            slaTime += p.demand * p.slaTime;
+            p.demand = sum(proxies.values(), proxy -> proxy.demand[p.index]);
         }
+        double sum = sum(List.of(products), p -> p.demand);
+        double slaTime = sum(List.of(products), p -> p.demand * p.slaTime);
         if (sum <= 0) {
             return;
         }
@@ -662,12 +625,8 @@
                     + ", voided " + percent(voidShare));
         }
         for (Product p : products) {
-            double higher = 0;
-            double same = 0;
-            for (Product other : products) {
-                higher += other.revenue > p.revenue ? other.demand : 0;
-                same += other.revenue == p.revenue ? other.demand : 0;
-            }
+            double higher = sum(List.of(products), x -> x.revenue > p.revenue ? x.demand : 0);
+            double same = sum(List.of(products), x -> x.revenue == p.revenue ? x.demand : 0);
             double level = same <= 0 ? 1 : (admitted * sum - higher) / same;
             p.level = admitted >= 1 ? 1 : Math.max(LEAST_LEVEL, Math.min(1, level));
         }
@@ -678,11 +637,7 @@
         if (product.level >= 1) {
             return UNLIMITED;
         }
-        List<Double> demands = new ArrayList<>();
-        for (Proxy p : proxies.values()) {
-            demands.add(p.demand[product.index]);
-        }
-        demands.sort(null);
+        List<Double> demands = proxies.values().stream().map(p -> p.demand[product.index]).sorted().toList();
         double left = product.level * product.demand;
         for (int i = 0; i < demands.size(); i++) {
             double each = left / (demands.size() - i);
@@ -710,23 +665,14 @@
     }
 
     private boolean empty(Table t) {
-        for (Table.Row row : t.rows.values()) {
-            if (row.sent > 0) {
-                return false;
-            }
-        }
-        return true;
+        return sum(t.rows.values(), row -> row.sent) == 0;
     }
 
     /** Whether enough others stay in each of its tables: the rest must not tip over for want of one. */
     private boolean mayLeave(Replica r, double share) {
         for (Table t : tables) {
-            int listed = 0;
-            int stay = 0;
-            for (Table.Row row : t.rows.values()) {
-                listed += row.replica.stage == Stage.READY ? 1 : 0;
-                stay += row.replica != r && want(row) > 0 ? 1 : 0;
-            }
+            double listed = sum(t.rows.values(), row -> row.replica.stage == Stage.READY ? 1 : 0);
+            double stay = sum(t.rows.values(), row -> row.replica != r && want(row) > 0 ? 1 : 0);
             if (t.rows.containsKey(r) && stay < Math.max(1, listed * share)) {
                 return false;
             }
@@ -735,15 +681,8 @@
     }
 
     private double mean(Table t) {
-        double sum = 0;
-        int n = 0;
-        for (Table.Row row : t.rows.values()) {
-            if (want(row) > 0) {
-                sum += row.weight;
-                n++;
-            }
-        }
-        return n == 0 ? SCALE / USUAL_LOAD : sum / n;
+        double n = sum(t.rows.values(), row -> want(row) > 0 ? 1 : 0);
+        return n == 0 ? SCALE / USUAL_LOAD : sum(t.rows.values(), this::want) / n;
     }
 
     private double start(Table t) {
@@ -751,22 +690,22 @@
     }
 
     private double listedShare(Table t, Replica r) {
-        double sum = 0;
-        int n = 0;
-        for (Replica other : roll) {
-            sum += open(t, other) ? other.listedWeight : 0;
-            n += open(t, other) ? 1 : 0;
-        }
+        double sum = sum(roll, x -> open(t, x) ? x.listedWeight : 0);
+        double n = sum(roll, x -> open(t, x) ? 1 : 0);
         return Math.max(1, Math.rint(SCALE / USUAL_LOAD * r.listedWeight * n / sum));
     }
 
     /** How much traffic the tables send to it, beside the others. */
     private double part(Replica r) {
-        double part = 0;
-        for (Table t : tables) {
-            part += t.rows.containsKey(r) ? t.rows.get(r).sent : 0;
+        return sum(tables, t -> t.rows.containsKey(r) ? t.rows.get(r).sent : 0);
+    }
+
+    private static <T> double sum(Collection<T> all, ToDoubleFunction<T> figure) {
+        double sum = 0;
+        for (T each : all) {
+            sum += figure.applyAsDouble(each);
         }
-        return part;
+        return sum;
     }
 
     private boolean young(Replica r) {
@@ -778,21 +717,12 @@
     }
 
     private double probePace() {
-        double sum = 0;
-        for (Product p : products) {
-            sum += p.demand;
-        }
+        double sum = sum(List.of(products), p -> p.demand);
         return sum <= 0 ? TURN : Math.max(TURN, Math.min(4 * TURN, roll.size() / (PROBE_SHARE * sum) * 1000));
     }
 
     private List<Proxy> audience(Table t) {
-        List<Proxy> bound = new ArrayList<>();
-        for (Proxy p : proxies.values()) {
-            if ((p.tables >> t.number & 1) == 1) {
-                bound.add(p);
-            }
-        }
-        return bound;
+        return proxies.values().stream().filter(p -> (p.tables >> t.number & 1) == 1).toList();
     }
 
     private void dueAt(double at, Replica r) {
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -135,7 +135,8 @@
         if (line.name().equals("BORN")) {
             line.needs(3);
             Opening opening = new Opening(line.rest(3));
-            Instance born = new Instance(opening.choice(line.whole(2)), new Pen(who, reply), opening.loadColumn());
+            Instance born =
+                    new Instance(opening.choice(line.whole(2)), new Pen(who, reply), opening.loadColumn());
             born.choice.clock(clock);
             instances.put(who, born);
             touched.put(who, born);
@@ -171,7 +172,8 @@
                     line.ofRow(5, here.loadColumn));
             case "DIGEST" -> choice.met(line.needs(8).whole(3), line.small(6), line.small(4), line.ms(5),
                     line.ofRow(8, here.loadColumn));
-            case "PROXY_STATS" -> choice.came(line.needs(6).small(5), line.small(2), line.small(4), line.ms(3));
+            case "PROXY_STATS" ->
+                choice.came(line.needs(6).small(5), line.small(2), line.small(4), line.ms(3));
             case "CHECKED_IN" -> choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0));
             case "STREAM_DOWN" -> choice.left(line.needs(2).small(2));
             case "HEARD", "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
@@ -202,8 +204,8 @@
                 case "D" -> Choice.Stage.GONE;
                 default -> throw new Malformed("ITEM of unknown state " + item.text(6));
             };
-            choice.listed(item.whole(3), item.absent(7) ? 0 : item.small(7), item.absent(2) ? 0 : item.small(2),
-                    item.number(1, 1), item.ms(4), stage);
+            choice.listed(item.whole(3), item.absent(7) ? 0 : item.small(7),
+                    item.absent(2) ? 0 : item.small(2), item.number(1, 1), item.ms(4), stage);
         }
         choice.listCloses();
     }
--- a/src/main/java/sprucelanding/wire/Line.java
+++ b/src/main/java/sprucelanding/wire/Line.java
@@ -31,7 +31,8 @@
 
     Line needs(int fields) {
         if (parts.length < fields + 1) {
-            throw new Malformed(name() + " has " + (parts.length - 1) + " values where " + fields + " are needed");
+            throw new Malformed(
+                    name() + " has " + (parts.length - 1) + " values where " + fields + " are needed");
         }
         return this;
     }
--- a/src/main/java/sprucelanding/wire/Opening.java
+++ b/src/main/java/sprucelanding/wire/Opening.java
@@ -52,7 +52,8 @@
         Choice choice = new Choice(new SplittableRandom(seed), products(info), zones());
         choice.roll(root.getString("membershipMode", "pushed").equals("pushed"));
         choice.channel(info.getDouble("egressPerS", 1000) / 1000, info.getDouble("head", 0),
-                info.getDouble("queueCap", 1000), info.getInt("updateCap", 0), ms(info, "reloadSpanUs", 10_000_000));
+                info.getDouble("queueCap", 1000), info.getInt("updateCap", 0),
+                ms(info, "reloadSpanUs", 10_000_000));
         choice.warming(contract.getDouble("coldFrom", 0.1), ms(contract, "warmAfterUs", 0));
         choice.reports(limits.getBoolean("probes", false), ms(info, "reportEveryUs", 1_000_000));
         choice.admission(switch (info.getString("admit", "none")) {
--- a/src/main/java/sprucelanding/wire/Pen.java
+++ b/src/main/java/sprucelanding/wire/Pen.java
@@ -68,7 +68,8 @@
 
     @Override
     public void timer(int tag, double at) {
-        open("SCHEDULE").append('\t').append(tag).append('\t').append((long) Math.ceil(at * 1000)).append('\n');
+        long us = (long) Math.ceil(at * 1000);
+        open("SCHEDULE").append('\t').append(tag).append('\t').append(us).append('\n');
     }
 
     @Override
@@ -80,7 +81,8 @@
         StackTraceElement[] trace = failure.getStackTrace();
         open("BUG").append('\t').append(failure.toString().replace('\n', ' ').replace('\t', ' '));
         for (int i = 0; i < trace.length && i < 3; i++) {
-            reply.append(" at ").append(trace[i].getMethodName()).append(':').append(trace[i].getLineNumber());
+            reply.append(" at ").append(trace[i].getMethodName())
+                    .append(':').append(trace[i].getLineNumber());
         }
         reply.append('\n');
     }
