--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -66,11 +66,16 @@
     /** How many turns pass until a level shows in the reports. */
     private static final int LAG_TURNS = 3;
     private static final double LEAST_LEVEL = 0.05;
+    private static final double LEAST_ADMITTED = 0.2;
+    /** What slow and voided answers add to a full load at most: they tell of some seconds ago. */
+    private static final double MOST_EXTRA = 0.3;
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
     private static final double ORDINARY = 0.5;
     private static final double URGENT = 0.75;
     private static final double BINDING = 1;
+    /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
+    private static final double TRUSTED = 0.5;
     /** Probes for each txn, at most. */
     private static final double PROBE_SHARE = 0.25;
 
@@ -83,29 +88,24 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
-    private boolean asked;
-    private double coldFrom;
-    private double warmAfter;
-    private boolean probes;
-    private double reportEvery;
+    private boolean asked, probes;
+    private double coldFrom, warmAfter, reportEvery;
     private Admission admission = Admission.NONE;
-    private Channel channel;
+    private double linesPerMs, head, queueCap, messageSpan;
+    private int messageCap;
+    /** Lines that wait in the channel, as of when. */
+    private double waiting, waitingAt;
 
     private double now;
     private long dueCount;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
-    private boolean news;
-    private boolean ordinary;
-    private boolean wholeList;
-    private boolean firstList;
+    private boolean news, ordinary, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
     /** Share of all demand that is let in, and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
-    private boolean strained;
-    private double meanLoad;
-    private double voidShare;
+    private double meanLoad, voidShare;
 
     // ---- what the site states
 
@@ -138,7 +138,11 @@
     }
 
     public void channel(double linesPerMs, double head, double queueCap, int messageCap, double messageSpan) {
-        channel = new Channel(linesPerMs, head, queueCap, messageCap, messageSpan);
+        this.linesPerMs = linesPerMs;
+        this.head = head;
+        this.queueCap = queueCap;
+        this.messageCap = messageCap;
+        this.messageSpan = messageSpan;
     }
 
     public void warming(double coldFrom, double warmAfter) {
@@ -327,7 +331,7 @@
                 double change = Math.abs(want - row.sent) / Math.max(want, row.sent);
                 double rank = must ? 3 : soon ? 2 : change;
                 if ((must || soon || ordinary && change >= CHANGE || empty(t)) && rank > most
-                        && channel.admits(audience(t), 1, now, must ? BINDING : soon ? URGENT : ORDINARY)) {
+                        && fits(audience(t), 1, must ? BINDING : soon ? URGENT : ORDINARY)) {
                     table = t;
                     next = row;
                     most = rank;
@@ -337,7 +341,7 @@
         if (next == null) {
             return false;
         }
-        channel.book(audience(table), 1, now);
+        book(audience(table), 1);
         next.sent = want(next);
         orders.line(table.number, next.replica, next.sent);
         if (next.replica.stage == Stage.GONE) {
@@ -353,8 +357,8 @@
                 boolean bound = (p.tables >> t.number & 1) == 1;
                 if (!bound && (t.home < 0 || t.home == p.zone) && !empty(t)) {
                     int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
-                    if (channel.admits(List.of(p), lines, now, URGENT)) {
-                        channel.book(List.of(p), lines, now);
+                    if (fits(List.of(p), lines, URGENT)) {
+                        book(List.of(p), lines);
                         p.tables |= 1L << t.number;
                         orders.bind(t.number, p, t.products);
                         return true;
@@ -377,8 +381,8 @@
                 int retry = strained ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
-                if ((t.letIn[k] < 0 || moves) && channel.admits(audience(t), 1, now, ORDINARY)) {
-                    channel.book(audience(t), 1, now);
+                if ((t.letIn[k] < 0 || moves) && fits(audience(t), 1, ORDINARY)) {
+                    book(audience(t), 1);
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
@@ -403,7 +407,7 @@
             if (r.entered) {
                 r.deafUntil = firstList ? 0 : now + 2 * reportEvery;
                 r.unanswered = 0;
-                r.out = r.zeroed = false;
+                r.out = false;
                 r.heardAt = r.settledAt = Double.NEGATIVE_INFINITY;
                 forget(r);
                 for (Table t : tables) {
@@ -432,7 +436,7 @@
         for (Table t : tables) {
             if (sum(t.rows.values(), this::want) == 0) {
                 for (Table.Row row : t.rows.values()) {
-                    row.replica.out = row.replica.zeroed = false;
+                    row.replica.out = false;
                 }
                 note("back to the list: no line is left in table " + t.number);
             }
@@ -481,7 +485,7 @@
             r.settled *= fade;
             r.steadyLoad = fresh ? r.load + (r.steadyLoad - r.load) * quick : r.steadyLoad;
         }
-        List<Replica> in = roll.stream().filter(r -> !out(r) && r.settled > 0).toList();
+        List<Replica> in = roll.stream().filter(r -> !r.out && r.settled > 0).toList();
         double settled = sum(in, r -> r.settled);
         double busy = sum(in, r -> r.busyTime);
         double weights = sum(in, this::part);
@@ -505,7 +509,9 @@
         }
         admit(load, answerTime);
         for (Table t : tables) {
-            step(t);
+            if (busy > 0) {
+                step(t);
+            }
         }
     }
 
@@ -518,7 +524,7 @@
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
-            if (r.stage != Stage.READY || out(r)) {
+            if (r.stage != Stage.READY || r.out) {
                 continue;
             }
             double perShare = usual / Math.max(r.speed, 1e-3);
@@ -535,12 +541,12 @@
 
     /** Products open to fewer replicas load those; a wider table leaves room for them. */
     private double room(Table t, Replica r) {
-        double speeds = sum(roll, x -> out(x) ? 0 : x.speed);
+        double speeds = sum(roll, x -> x.out ? 0 : x.speed);
         double all = sum(tables, this::demand);
         double narrow = 0;
         for (Table other : tables) {
             if (other != t && other.rows.size() < t.rows.size() && open(other, r)) {
-                double open = sum(other.rows.values(), row -> out(row.replica) ? 0 : row.replica.speed);
+                double open = sum(other.rows.values(), row -> row.replica.out ? 0 : row.replica.speed);
                 narrow += open > 0 ? demand(other) / open : 0;
             }
         }
@@ -556,37 +562,29 @@
     }
 
     /**
-     * Out when its tries are voided far more often than the fleet's (a quick failer at low load, a hang), in a
-     * busy one more so, for full queues void tries as well; back when it has sat its time and answers probes.
+     * Out when its tries are voided far more often than the fleet's (a quick failer at low load, a hang), in
+     * a busy one more so, for full queues void tries as well; zeroed when its load stays far above the rest's.
+     * Back when it has sat its time, is no longer full and answers probes.
      */
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
+        boolean full = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         if (!r.out && r.voided >= 2 && share > SICK + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
             leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
-        } else if (r.out && now >= r.outUntil && (!probes || r.answered >= 2)) {
+        } else if (!r.out && full) {
+            leaves(r, 0, STAY_SICK, "load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
+        } else if (r.out && !full && now >= r.outUntil && (!probes || r.answered >= 2)) {
             r.out = false;
-            comesBack(r, "answers");
-        }
-        boolean full = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
-        if (!r.zeroed && full && mayLeave(r, STAY_SICK)) {
-            r.zeroed = true;
-            note("zeroed " + r.id + ": load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
-        } else if (r.zeroed && !full) {
-            r.zeroed = false;
-            comesBack(r, "load " + percent(r.steadyLoad));
-        }
-    }
-
-    private void comesBack(Replica r, String why) {
-        for (Table t : tables) {
-            if (t.rows.containsKey(r)) {
-                t.rows.get(r).weight = start(t);
+            for (Table t : tables) {
+                if (t.rows.containsKey(r)) {
+                    t.rows.get(r).weight = start(t);
+                }
             }
+            forget(r);
+            note("back " + r.id + ": answers");
         }
-        forget(r);
-        note("back " + r.id + ": " + why);
     }
 
     private void forget(Replica r) {
@@ -595,7 +593,7 @@
 
     /**
      * Lets in what the replicas can do, those products first that bring most. Use is the mean load; a load
-     * stops at all cores busy, so voided tries and slow answers count on top, and queues drain.
+     * stops at all cores busy, so then voided tries and slow answers count on top, and queues drain.
      */
     private void admit(double use, double answerTime) {
         for (Product p : products) {
@@ -607,14 +605,13 @@
             return;
         }
         double late = Math.max(0, answerTime * sum / slaTime - 0.5);
-        double full = late > 0.2 && late + voidShare > 0.4 ? Math.max(1, use) : use;
-        double strain = full * (1 + late + voidShare);
+        double strain = use > SATURATED ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
         boolean was = strained;
-        strained = full > SATURATED && strain > 1 || strained && admitted < 1;
+        strained = strain > 1 || strained && admitted < 1;
         if (strained) {
             double measured = past.size() < LAG_TURNS ? 1 : past.peekFirst();
             double step = measured * GOAL_LOAD / strain;
-            admitted = Math.min(1, Math.max(0.7 * admitted, Math.min(1.25 * admitted, step)));
+            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(1.25 * admitted, step)));
         }
         past.addLast(admitted);
         if (past.size() > LAG_TURNS) {
@@ -656,12 +653,8 @@
                 && (t.home < 0 || t.home == r.zone);
     }
 
-    private boolean out(Replica r) {
-        return r.out || r.zeroed;
-    }
-
     private double want(Table.Row row) {
-        return row.replica.stage != Stage.READY || out(row.replica) ? 0 : row.weight;
+        return row.replica.stage != Stage.READY || row.replica.out ? 0 : row.weight;
     }
 
     private boolean empty(Table t) {
@@ -737,53 +730,36 @@
         return Math.round(share * 100) + "%";
     }
 
-    /** The gate: one model of the lines that wait in the channel and of the messages to each proxy. */
-    private static final class Channel {
-        /** Of the stated pace, what is counted on: a channel may run slow for a while. */
-        private static final double TRUSTED = 0.5;
-
-        private final double pace;
-        private final double head;
-        private final double cap;
-        private final int messageCap;
-        private final double messageSpan;
-        private double waiting;
-        private double at;
-
-        Channel(double pace, double head, double cap, int messageCap, double messageSpan) {
-            this.pace = pace;
-            this.head = head;
-            this.cap = cap;
-            this.messageCap = messageCap;
-            this.messageSpan = messageSpan;
-        }
-
-        /** Whether lines for these proxies fit into the given part of the limits. */
-        boolean admits(List<Proxy> to, int lines, double now, double part) {
-            waiting = Math.max(0, waiting - (now - at) * pace * TRUSTED);
-            at = now;
-            double cost = 0;
-            for (Proxy p : to) {
-                boolean open = !p.messages.isEmpty() && p.messages.peekLast() == now;
-                cost += lines + (open ? 0 : head);
-                while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
-                    p.messages.pollFirst();
-                }
-                if (messageCap > 0 && !open && p.messages.size() + 1 > part * messageCap) {
-                    return false;
-                }
+    // ---- the gate: one model of the lines that wait in the channel and of the messages to each proxy
+
+    /** Whether lines for these proxies fit into the given part of the limits. */
+    private boolean fits(List<Proxy> to, int lines, double part) {
+        waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
+        waitingAt = now;
+        double cost = 0;
+        for (Proxy p : to) {
+            cost += lines + (open(p) ? 0 : head);
+            while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
+                p.messages.pollFirst();
+            }
+            if (messageCap > 0 && !open(p) && p.messages.size() + 1 > part * messageCap) {
+                return false;
             }
-            return waiting + cost <= part * cap;
         }
+        return waiting + cost <= part * queueCap;
+    }
 
-        void book(List<Proxy> to, int lines, double now) {
-            for (Proxy p : to) {
-                if (p.messages.isEmpty() || p.messages.peekLast() != now) {
-                    p.messages.addLast(now);
-                    waiting += head;
-                }
-                waiting += lines;
+    private void book(List<Proxy> to, int lines) {
+        for (Proxy p : to) {
+            waiting += lines + (open(p) ? 0 : head);
+            if (!open(p)) {
+                p.messages.addLast(now);
             }
         }
     }
+
+    /** Whether it gets a message now anyway: what is ordered at one time travels together. */
+    private boolean open(Proxy p) {
+        return !p.messages.isEmpty() && p.messages.peekLast() == now;
+    }
 }
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -32,12 +32,10 @@
     /** Probes in a row without an answer, a refused connection counting for two; and with one. */
     int unanswered;
     int answered;
-    /** Kept out of the tables for its health, until when at least, and for how long the last time. */
+    /** Kept out of the tables, until when at least, and for how long when last found sick. */
     boolean out;
     double outUntil = Double.NEGATIVE_INFINITY;
     double sentence;
-    /** Kept out of the tables for its load. */
-    boolean zeroed;
 
     Replica(long id) {
         this.id = id;
