Weights shrink or are zeroed for load only far above the rest's, and not when strained

Cause: near saturation half the fleet counted as busy and shrank each turn, so load leapt onto the emptied ones.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -51,7 +51,8 @@
     private static final double GOAL_LOAD = 0.85;
     /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
     private static final double ZERO_PAST = 0.95;
-    /** A replica is zeroed for load only if it stands this far above the rest. */
+    /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
+    private static final double CROWDED = 1.25;
     private static final double ABOVE_REST = 1.5;
     /** Missed probes that make a replica silent: four, or two refused connections. */
     private static final int SILENT_AFTER = 4;
@@ -67,8 +68,8 @@
     private static final int LAG_TURNS = 3;
     private static final double LEAST_LEVEL = 0.05;
     private static final double LEAST_ADMITTED = 0.2;
-    /** What slow and voided answers add to a full load at most: they tell of some seconds ago. */
-    private static final double MOST_EXTRA = 0.3;
+    /** What slow and voided answers add to a full load at most. */
+    private static final double MOST_EXTRA = 1;
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
     private static final double ORDINARY = 0.5;
@@ -530,7 +531,7 @@
             double perShare = usual / Math.max(r.speed, 1e-3);
             double sound = 1 - r.voided / (r.tries + 2);
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * room(t, r) * sound * sound;
-            if (r.steadyLoad > BUSY && r.steadyLoad > meanLoad) {
+            if (r.steadyLoad > BUSY && r.steadyLoad > CROWDED * meanLoad) {
                 target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
             }
             double next = Math.rint((row.weight + target) / 2);
@@ -568,7 +569,7 @@
      */
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
-        boolean full = r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
+        boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         if (!r.out && r.voided >= 2 && share > SICK + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
@@ -611,7 +612,7 @@
         if (strained) {
             double measured = past.size() < LAG_TURNS ? 1 : past.peekFirst();
             double step = measured * GOAL_LOAD / strain;
-            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(1.25 * admitted, step)));
+            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(1.4 * admitted, step)));
         }
         past.addLast(admitted);
         if (past.size() > LAG_TURNS) {
