--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -29,8 +29,7 @@
     private static final int TURN_BELL = 1;
     private static final int DUE_BELL = 2;
 
-    /** A cycle: weights and levels move once in it. */
-    private static final double TURN = 1000;
+    private static final double TURN = 1000; // a cycle: weights and levels move once in it
     /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
     private static final double MEMORY = 6000;
     /** The same for health and for the load that zeroing goes by: trouble must show at once. */
@@ -38,47 +37,34 @@
     /** How much the listed weight counts beside the evidence, as a part of an average replica's. */
     private static final double PRIOR = 0.3;
     /** The design's figures: weight at full load, least load that counts, slow start, growth, change sent. */
-    private static final double SCALE = 100;
-    private static final double LEAST_LOAD = 0.05;
-    private static final double SLOW_START = 0.1;
-    private static final double GROWTH = 1.5;
-    private static final double CHANGE = 0.1;
-    /** Load assumed while none is known. */
-    private static final double USUAL_LOAD = 0.5;
+    private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
+    private static final double USUAL_LOAD = 0.5; // load assumed while none is known
     /** Past this load a weight shrinks at once; past this mean load queues grow; levels steer for this. */
-    private static final double BUSY = 0.8;
-    private static final double SATURATED = 0.9;
-    private static final double GOAL_LOAD = 0.85;
+    private static final double BUSY = 0.8, SATURATED = 0.9, GOAL_LOAD = 0.85;
     /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
     private static final double ZERO_PAST = 0.95;
     /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
-    private static final double CROWDED = 1.25;
-    private static final double ABOVE_REST = 1.5;
+    private static final double CROWDED = 1.25, ABOVE_REST = 1.5;
     /** Missed probes that make a replica silent: four, or two refused connections. */
     private static final int SILENT_AFTER = 4;
     /** Of a table's lines, at least this part stays when silence, or when failure or load, takes some out. */
-    private static final double STAY_SILENT = 0.25;
-    private static final double STAY_SICK = 0.5;
-    /** Share of tries voided, above the fleet's, that is a sickness. */
-    private static final double SICK = 0.35;
+    private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
+    private static final double SICK = 0.35; // share of tries voided, above the fleet's, that is a sickness
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
-    private static final double SENTENCE = 4000;
-    private static final double LONGEST_SENTENCE = 16_000;
+    private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
     /** How many turns pass until a level shows in the reports. */
     private static final int LAG_TURNS = 3;
-    private static final double LEAST_LEVEL = 0.05;
-    private static final double LEAST_ADMITTED = 0.2;
+    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2;
     /** What slow and voided answers add to a full load at most. */
     private static final double MOST_EXTRA = 1;
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
-    private static final double ORDINARY = 0.5;
-    private static final double URGENT = 0.75;
-    private static final double BINDING = 1;
+    private static final double ORDINARY = 0.5, URGENT = 0.75, BINDING = 1;
+    /** Ranks of lines: what the rules ask, what can't wait; all others rank by their change, up to 1. */
+    private static final double MUST = 4, SOON = 2;
     /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
     private static final double TRUSTED = 0.5;
-    /** Probes for each txn, at most. */
-    private static final double PROBE_SHARE = 0.25;
+    private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
     private final SplittableRandom chance;
     private final Product[] products;
@@ -324,25 +310,20 @@
         for (Table t : tables) {
             for (Table.Row row : t.rows.values()) {
                 double want = want(row);
-                if (want == row.sent) {
-                    continue;
-                }
-                boolean must = row.sent > 0 && row.replica.stage != Stage.READY;
+                double change = want == row.sent ? 0 : Math.abs(want - row.sent) / Math.max(want, row.sent);
                 boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent);
-                double change = Math.abs(want - row.sent) / Math.max(want, row.sent);
-                double rank = must ? 3 : soon ? 2 : change;
-                if ((must || soon || ordinary && change >= CHANGE || empty(t)) && rank > most
-                        && fits(audience(t), 1, must ? BINDING : soon ? URGENT : ORDINARY)) {
+                double rank = !soon ? change : change + (row.replica.stage != Stage.READY ? MUST : SOON);
+                if ((soon || ordinary && change >= CHANGE || empty(t)) && change > 0 && rank > most) {
                     table = t;
                     next = row;
                     most = rank;
                 }
             }
         }
-        if (next == null) {
+        double part = most >= MUST ? BINDING : most >= SOON ? URGENT : ORDINARY;
+        if (next == null || !fits(audience(table), 1, part)) {
             return false;
         }
-        book(audience(table), 1);
         next.sent = want(next);
         orders.line(table.number, next.replica, next.sent);
         if (next.replica.stage == Stage.GONE) {
@@ -359,7 +340,6 @@
                 if (!bound && (t.home < 0 || t.home == p.zone) && !empty(t)) {
                     int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
                     if (fits(List.of(p), lines, URGENT)) {
-                        book(List.of(p), lines);
                         p.tables |= 1L << t.number;
                         orders.bind(t.number, p, t.products);
                         return true;
@@ -383,7 +363,6 @@
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
                 if ((t.letIn[k] < 0 || moves) && fits(audience(t), 1, ORDINARY)) {
-                    book(audience(t), 1);
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
@@ -564,7 +543,7 @@
 
     /**
      * Out when its tries are voided far more often than the fleet's (a quick failer at low load, a hang), in
-     * a busy one more so, for full queues void tries as well; zeroed when its load stays far above the rest's.
+     * a busy one more so, for full queues void tries as well; zeroed when its load stays far above the rest.
      * Back when it has sat its time, is no longer full and answers probes.
      */
     private void health(Replica r) {
@@ -733,13 +712,12 @@
 
     // ---- the gate: one model of the lines that wait in the channel and of the messages to each proxy
 
-    /** Whether lines for these proxies fit into the given part of the limits. */
+    /** Books lines for these proxies, if they fit into the given part of the limits. */
     private boolean fits(List<Proxy> to, int lines, double part) {
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
-        double cost = 0;
+        double cost = sum(to, p -> lines + (open(p) ? 0 : head));
         for (Proxy p : to) {
-            cost += lines + (open(p) ? 0 : head);
             while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
                 p.messages.pollFirst();
             }
@@ -747,16 +725,16 @@
                 return false;
             }
         }
-        return waiting + cost <= part * queueCap;
-    }
-
-    private void book(List<Proxy> to, int lines) {
+        if (waiting + cost > part * queueCap) {
+            return false;
+        }
+        waiting += cost;
         for (Proxy p : to) {
-            waiting += lines + (open(p) ? 0 : head);
             if (!open(p)) {
                 p.messages.addLast(now);
             }
         }
+        return true;
     }
 
     /** Whether it gets a message now anyway: what is ordered at one time travels together. */
--- /dev/null
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -0,0 +1,250 @@
+package sprucelanding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Stories of what the module met, told to a host without a bench. */
+class ChoiceTest {
+    /** All replicas report the load, and settle as many tries a second. */
+    private static void well(FakeHost host, int replicas, double load, int tries) {
+        for (long id = 1; id <= replicas; id++) {
+            host.choice.met(id, tries, 0, load < 1 ? 200 : 700, load);
+        }
+        host.choice.came(9, 0, 60, 1000);
+        host.choice.came(9, 1, 40, 1000);
+    }
+
+    @Test
+    void linesAreLaidBeforeProxiesAreBound() {
+        FakeHost host = FakeHost.usual(6);
+        assertEquals(6, host.tables.get(0).size());
+        assertEquals(3, host.bound.get(9));
+        assertEquals(6, host.orders.indexOf("bind"));
+    }
+
+    @Test
+    void weightComesOutAsSpeed() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(30, () -> {
+            well(host, 6, 0.5, 10);
+            host.choice.met(1, 10, 0, 200, Double.NaN);
+        });
+        assertEquals(2, host.weight(1) / host.weight(2), 0.5);
+        assertTrue(host.messages < 31, "one message a turn at most, for " + host.messages);
+    }
+
+    @Test
+    void oddReportsNeverGiveOddWeights() {
+        FakeHost host = FakeHost.usual(4);
+        host.run(20, () -> {
+            host.choice.met(1, 0, 0, 0, 0);
+            host.choice.met(2, 5, 9, -3, Double.NaN);
+            host.choice.met(3, -4, -9, 1e12, -1);
+            host.choice.met(4, 1, 0, Double.MAX_VALUE, 1e300);
+            host.choice.met(77, 1, 0, 1, 1);
+            host.choice.came(9, 5, 1, 1000);
+            host.choice.came(9, 0, -1, -1000);
+            host.choice.probed(78, Choice.Answer.OK, 0.5);
+        });
+        assertTrue(host.weight(1) > 0);
+    }
+
+    @Test
+    void drainingAndGoneReplicasLeaveAtOnce() {
+        FakeHost host = FakeHost.usual(4);
+        host.change(1, 0, Choice.Stage.DRAINING);
+        assertEquals(0, host.weight(1));
+        host.choice.listOpens(true, false);
+        host.choice.listed(3, 0, 0, 1, 0, Choice.Stage.READY);
+        host.choice.listCloses();
+        host.settle();
+        assertEquals(0, host.weight(2));
+        assertTrue(host.weight(3) > 0);
+    }
+
+    @Test
+    void aRestartedReplicaComesInSlowly() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        double before = host.weight(1);
+        host.change(1, host.now, Choice.Stage.READY);
+        assertTrue(host.weight(1) <= before / 8);
+        host.run(2, () -> well(host, 6, 0.5, 10));
+        assertTrue(host.weight(1) <= before / 3);
+    }
+
+    @Test
+    void refusedProbesTakeOneOutAndTwoAnswersBringItBackAtATenth() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(3, () -> well(host, 6, 0.5, 10));
+        host.ill.put(2L, Choice.Answer.UNREACHABLE);
+        host.run(2, () -> well(host, 6, 0.5, 10));
+        assertEquals(0, host.weight(2));
+        host.ill.clear();
+        host.run(4, () -> well(host, 6, 0.5, 10));
+        assertTrue(host.weight(2) > 0 && host.weight(2) < host.weight(3) / 2);
+    }
+
+    @Test
+    void aSilentZoneGoesOutTogether() {
+        FakeHost host = FakeHost.usual(9);
+        host.run(3, () -> well(host, 9, 0.5, 10));
+        for (long id = 1; id <= 9; id += 3) {
+            host.ill.put(id, Choice.Answer.SILENT);
+        }
+        host.run(3, () -> well(host, 9, 0.5, 10));
+        assertEquals(0, host.weight(1) + host.weight(4) + host.weight(7));
+        assertTrue(host.logged("nor from its zone"));
+    }
+
+    @Test
+    void silenceHereAndThereIsFullQueuesNotSickness() {
+        FakeHost host = FakeHost.usual(9);
+        host.run(3, () -> well(host, 9, 0.7, 10));
+        for (long id : new long[] {1, 2, 3, 4, 5}) {
+            host.ill.put(id, Choice.Answer.SILENT);
+        }
+        host.run(6, () -> well(host, 9, Double.NaN, 10));
+        for (long id = 1; id <= 9; id++) {
+            assertTrue(host.weight(id) > 0, "replica " + id);
+        }
+    }
+
+    @Test
+    void whenNobodyAnswersAQuarterStays() {
+        FakeHost host = FakeHost.usual(8);
+        for (long id = 1; id <= 8; id++) {
+            host.ill.put(id, Choice.Answer.UNREACHABLE);
+        }
+        host.run(10, () -> { });
+        assertTrue(host.tables.get(0).values().stream().filter(w -> w > 0).count() >= 2);
+    }
+
+    @Test
+    void theLastListedReplicaComesBackWhenTheOthersDrain() {
+        FakeHost host = FakeHost.usual(3);
+        host.ill.put(1L, Choice.Answer.UNREACHABLE);
+        host.run(4, () -> { });
+        assertEquals(0, host.weight(1));
+        host.change(2, 0, Choice.Stage.DRAINING);
+        host.change(3, 0, Choice.Stage.DRAINING);
+        assertTrue(host.weight(1) > 0);
+        assertTrue(host.logged("back to the list"));
+    }
+
+    @Test
+    void aQuickFailerAtLowLoadLosesItsLine() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(4, () -> well(host, 6, 0.5, 10));
+        host.run(3, () -> {
+            well(host, 5, 0.5, 10);
+            host.choice.met(6, 30, 24, 5, 0.05);
+        });
+        assertEquals(0, host.weight(6));
+        assertTrue(host.logged("voided"));
+    }
+
+    @Test
+    void aSlowReplicaShrinksButNoisyLoadsDoNotZero() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(4, () -> well(host, 6, 0.5, 10));
+        host.run(6, () -> {
+            well(host, 5, 0.5, 10);
+            host.choice.met(6, 3, 0, 900, host.now % 2000 == 0 ? 1 : 0.85);
+        });
+        assertTrue(host.weight(6) > 0 && host.weight(6) < host.weight(1) / 2);
+    }
+
+    @Test
+    void overloadDeclinesTheCheapProductAndStopsFurtherTries() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(4, () -> well(host, 6, 0.6, 10));
+        assertEquals(Orders.RETRY_UNRUN, host.retries.get(1));
+        host.run(6, () -> well(host, 6, 1, 10));
+        assertTrue(host.levels.get(0) < 0.9);
+        assertEquals(1, host.levels.get(1));
+        assertEquals(Orders.RETRY_NEVER, host.retries.get(0));
+        host.run(20, () -> well(host, 6, 0.4, 10));
+        assertEquals(1, host.levels.get(0));
+        assertTrue(host.logged("declining") && host.logged("all let in"));
+    }
+
+    @Test
+    void aRateSparesProxiesWithLittle() {
+        FakeHost host = new FakeHost(Choice.Admission.RATE, 0, FakeHost.product(0, true, 1));
+        host.choice.roll(true);
+        host.list(true, 4);
+        host.choice.joined(1, 0, 90);
+        host.choice.joined(2, 0, 10);
+        host.settle();
+        assertTrue(host.levels.get(0) > 1000);
+        host.run(8, () -> {
+            for (long id = 1; id <= 4; id++) {
+                host.choice.met(id, 25, 0, 700, 1);
+            }
+            host.choice.came(1, 0, 90, 1000);
+            host.choice.came(2, 0, 10, 1000);
+        });
+        assertTrue(host.levels.get(0) >= 10 && host.levels.get(0) < 85);
+    }
+
+    @Test
+    void theMessageCapHoldsWhateverHappens() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 12, FakeHost.product(0, true, 1));
+        host.choice.roll(true);
+        host.list(true, 9);
+        host.choice.joined(9, 0, 100);
+        host.settle();
+        host.run(10, () -> {
+            well(host, 9, 0.5, 10 + (int) (host.now / 1000 % 7) * 9);
+            host.change(1 + (long) (host.now / 1000) % 9, host.now, Choice.Stage.READY);
+        });
+        assertTrue(host.messages <= 12, "messages " + host.messages);
+    }
+
+    @Test
+    void aListThatMustBeAskedIsAskedAgainAfterAFailure() {
+        FakeHost host = new FakeHost(Choice.Admission.NONE, 0, FakeHost.product(0, true, 1));
+        host.choice.roll(false);
+        host.list(true, 3);
+        host.settle();
+        assertEquals(1, host.watches);
+        host.choice.listFailed();
+        host.run(2, () -> { });
+        assertEquals(2, host.watches);
+    }
+
+    @Test
+    void aProductOpenToFewHasItsTableAndTheOthersLeaveRoom() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1),
+                new Product(1, false, 3, 600, 1L << 1, -1, false));
+        host.choice.roll(true);
+        host.choice.listOpens(true, true);
+        for (long id = 1; id <= 6; id++) {
+            host.choice.listed(id, 0, id <= 3 ? 1 : 0, 1, 0, Choice.Stage.READY);
+        }
+        host.choice.listCloses();
+        host.choice.joined(9, 0, 100);
+        host.settle();
+        assertEquals(3, host.tables.get(1).size());
+        host.run(20, () -> well(host, 6, 0.5, 10));
+        assertTrue(host.weight(1) < host.weight(4) / 2);
+        assertFalse(host.tables.get(1).containsKey(4L));
+    }
+
+    @Test
+    void aGovernorThatStartsAnewEasesInWhatJustStarted() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1));
+        host.choice.roll(true);
+        host.choice.listOpens(true, true);
+        host.choice.listed(1, 0, 0, 1, host.now - 1000, Choice.Stage.READY);
+        host.choice.listed(2, 0, 0, 1, 0, Choice.Stage.READY);
+        host.choice.listCloses();
+        host.choice.joined(9, 0, 100);
+        host.settle();
+        assertTrue(host.weight(1) < host.weight(2) / 3);
+    }
+}
