A governor that starts anew looks before it binds; what returns is spared while tries are voided

Cause: the governor restarted amid an overload, let all in with further tries on, and 2% of five attempts a txn pushed over servers in their first seconds. Also guards cold starts in any jam.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -64,6 +64,7 @@
     private static final double MUST = 4, SOON = 2;
     /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
     private static final double TRUSTED = 0.5;
+    private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
     private final SplittableRandom chance;
@@ -84,7 +85,7 @@
     private double waiting, waitingAt;
 
     private double now;
-    private long dueCount;
+    private long dueCount, turns;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
     private boolean news, ordinary, strained, wholeList, firstList;
@@ -242,8 +243,9 @@
         }
     }
 
-    public void joined(int id, int zone, double usual) {
+    public void joined(int id, int zone, double usual, boolean bare) {
         Proxy p = new Proxy(id, zone, products.length);
+        p.bare = bare;
         for (int k = 0; k < products.length; k++) {
             p.demand[k] = Math.max(0, usual) / products.length;
         }
@@ -266,6 +268,7 @@
         if (turnDue) {
             turnDue = false;
             ordinary = true;
+            turns++;
             turn();
             orders.timer(TURN_BELL, now + TURN);
             return true;
@@ -332,12 +335,16 @@
         return true;
     }
 
-    /** Puts joined proxies on the tables, once those have lines. */
+    /**
+     * Puts joined proxies on the tables, once those have lines. A governor that starts anew first looks at
+     * the load, while proxies keep the orders that they hold: else it would let all in amid an overload.
+     */
     private boolean binds(Orders orders) {
         for (Table t : tables) {
             for (Proxy p : proxies.values()) {
                 boolean bound = (p.tables >> t.number & 1) == 1;
-                if (!bound && (t.home < 0 || t.home == p.zone) && !empty(t)) {
+                boolean fits = (t.home < 0 || t.home == p.zone) && (p.bare || turns > FIRST_LOOK);
+                if (!bound && fits && !empty(t)) {
                     int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
                     if (fits(List.of(p), lines, URGENT)) {
                         p.tables |= 1L << t.number;
@@ -359,7 +366,7 @@
                     continue;
                 }
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                int retry = strained ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
+                int retry = strained || meanLoad == 0 ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
                 if ((t.letIn[k] < 0 || moves) && fits(audience(t), 1, ORDINARY)) {
@@ -432,7 +439,8 @@
         double mates = sum(roll, x -> x.zone == r.zone ? 1 : 0);
         double mute = sum(roll, x -> x.unanswered > 0 ? 1 : 0);
         double muteMates = sum(roll, x -> x.unanswered > 0 && x.zone == r.zone ? 1 : 0);
-        boolean together = muteMates > 1 && muteMates >= 0.8 * mates
+        boolean queued = settles(r) && (strained || meanLoad > SATURATED);
+        boolean together = !queued && muteMates > 1 && muteMates >= 0.8 * mates
                 && mute - muteMates < 0.3 * (roll.size() - mates);
         boolean lone = mute <= Math.max(1, 0.15 * roll.size());
         if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
@@ -440,9 +448,14 @@
         }
     }
 
-    /** Whether reports told of settled txns of late. */
+    /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
-        return now - r.settledAt < 1.5 * reportEvery;
+        return now - r.settledAt < 1.5 * reportEvery || turns * TURN < 3 * reportEvery;
+    }
+
+    /** A report that is older is no sign of a low load, nor of a high one. */
+    private boolean fresh(Replica r) {
+        return now - r.heardAt < 2 * reportEvery + TURN;
     }
 
     private void leaves(Replica r, double hold, double stay, String why) {
@@ -460,17 +473,18 @@
         double fade = Math.exp(-TURN / MEMORY);
         double quick = Math.exp(-TURN / SHORT_MEMORY);
         for (Replica r : roll) {
-            boolean fresh = now - r.heardAt < 2 * reportEvery + TURN;
-            r.busyTime = r.busyTime * fade + (fresh ? r.load * TURN : 0);
+            r.busyTime = r.busyTime * fade + (fresh(r) ? r.load * TURN : 0);
             r.settled *= fade;
-            r.steadyLoad = fresh ? r.load + (r.steadyLoad - r.load) * quick : r.steadyLoad;
+            double kept = fresh(r) ? turns > 2 ? quick : 0 : 1;
+            r.steadyLoad = r.load + (r.steadyLoad - r.load) * kept;
         }
+        List<Replica> seen = roll.stream().filter(r -> !r.out && fresh(r)).toList();
         List<Replica> in = roll.stream().filter(r -> !r.out && r.settled > 0).toList();
         double settled = sum(in, r -> r.settled);
         double busy = sum(in, r -> r.busyTime);
-        double weights = sum(in, this::part);
-        double load = weights == 0 ? 0 : sum(in, r -> r.load * part(r)) / weights;
-        meanLoad = weights == 0 ? 0 : sum(in, r -> r.steadyLoad * part(r)) / weights;
+        double weights = sum(seen, this::part);
+        double load = weights == 0 ? 0 : sum(seen, r -> r.load * part(r)) / weights;
+        meanLoad = weights == 0 ? 0 : sum(seen, r -> r.steadyLoad * part(r)) / weights;
         double tries = sum(roll, r -> r.tries);
         double voided = sum(roll, r -> r.voided);
         double answerTime = sum(roll, r -> r.waited) / (tries - voided + 1);
@@ -514,7 +528,8 @@
                 target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
             }
             double next = Math.rint((row.weight + target) / 2);
-            double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
+            double cap = Math.max(SLOW_START * mean * spared(), row.weight * GROWTH);
+            cap = young(r) ? Math.min(cap, mean * coldShare(r) * spared()) : cap;
             row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
         }
     }
@@ -659,7 +674,12 @@
     }
 
     private double start(Table t) {
-        return Math.max(1, Math.rint(mean(t) * SLOW_START));
+        return Math.max(1, Math.rint(mean(t) * SLOW_START * spared()));
+    }
+
+    /** A cold one gets less while tries are voided and come again: a tenth of a jam would push it over. */
+    private double spared() {
+        return (1 - voidShare) * (1 - voidShare);
     }
 
     private double listedShare(Table t, Replica r) {
--- a/src/main/java/sprucelanding/Proxy.java
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -6,6 +6,8 @@
 public final class Proxy {
     public final int id;
     final int zone;
+    /** It holds only what it started with, and no orders. */
+    boolean bare;
     /** The tables it was put on, as a mask of their numbers. */
     long tables;
     /** When messages were ordered for it, oldest first. */
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -174,7 +174,8 @@
                     line.ofRow(8, here.loadColumn));
             case "PROXY_STATS" ->
                 choice.came(line.needs(6).small(5), line.small(2), line.small(4), line.ms(3));
-            case "CHECKED_IN" -> choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0));
+            case "CHECKED_IN" ->
+                choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0), line.flag(5));
             case "STREAM_DOWN" -> choice.left(line.needs(2).small(2));
             case "HEARD", "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
                 // peers' notes and receipts, which nothing asks for, and the slices of other sites
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -177,8 +177,8 @@
         FakeHost host = new FakeHost(Choice.Admission.RATE, 0, FakeHost.product(0, true, 1));
         host.choice.roll(true);
         host.list(true, 4);
-        host.choice.joined(1, 0, 90);
-        host.choice.joined(2, 0, 10);
+        host.choice.joined(1, 0, 90, true);
+        host.choice.joined(2, 0, 10, true);
         host.settle();
         assertTrue(host.levels.get(0) > 1000);
         host.run(8, () -> {
@@ -196,7 +196,7 @@
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 12, FakeHost.product(0, true, 1));
         host.choice.roll(true);
         host.list(true, 9);
-        host.choice.joined(9, 0, 100);
+        host.choice.joined(9, 0, 100, true);
         host.settle();
         host.run(10, () -> {
             well(host, 9, 0.5, 10 + (int) (host.now / 1000 % 7) * 9);
@@ -227,7 +227,7 @@
             host.choice.listed(id, 0, id <= 3 ? 1 : 0, 1, 0, Choice.Stage.READY);
         }
         host.choice.listCloses();
-        host.choice.joined(9, 0, 100);
+        host.choice.joined(9, 0, 100, true);
         host.settle();
         assertEquals(3, host.tables.get(1).size());
         host.run(20, () -> well(host, 6, 0.5, 10));
@@ -243,7 +243,7 @@
         host.choice.listed(1, 0, 0, 1, host.now - 1000, Choice.Stage.READY);
         host.choice.listed(2, 0, 0, 1, 0, Choice.Stage.READY);
         host.choice.listCloses();
-        host.choice.joined(9, 0, 100);
+        host.choice.joined(9, 0, 100, true);
         host.settle();
         assertTrue(host.weight(1) < host.weight(2) / 3);
     }
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -44,7 +44,7 @@
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, product(0, true, 1), product(1, false, 2));
         host.choice.roll(true);
         host.list(true, n);
-        host.choice.joined(9, 0, 100);
+        host.choice.joined(9, 0, 100, true);
         host.settle();
         return host;
     }
