--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -29,7 +29,7 @@
     private static final int TURN_BELL = 1;
     private static final int DUE_BELL = 2;
 
-    private static final double TURN = 500; // a cycle: weights and levels move once in it
+    private static final double TURN = 1000; // a cycle: weights and levels move once in it
     /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
     private static final double MEMORY = 6000;
     /** The same for health and for the load that zeroing goes by: trouble must show at once. */
@@ -53,7 +53,7 @@
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
     /** How many turns pass until a level shows in the reports. */
-    private static final int LAG_TURNS = 6;
+    private static final int LAG_TURNS = 3;
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2;
     /** What slow and voided answers add to a full load at most. */
     private static final double MOST_EXTRA = 1;
@@ -64,7 +64,7 @@
     private static final double MUST = 4, SOON = 2;
     /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
     private static final double TRUSTED = 0.5;
-    private static final int FIRST_LOOK = 2; // turns before proxies with old orders are bound
+    private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
@@ -476,7 +476,7 @@
         for (Replica r : roll) {
             r.busyTime = r.busyTime * fade + (fresh(r) ? r.load * TURN : 0);
             r.settled *= fade;
-            double kept = fresh(r) ? turns > 4 ? quick : 0 : 1;
+            double kept = fresh(r) ? turns > 2 ? quick : 0 : 1;
             r.steadyLoad = r.load + (r.steadyLoad - r.load) * kept;
         }
         List<Replica> seen = roll.stream().filter(r -> !r.out && fresh(r)).toList();
@@ -712,7 +712,7 @@
 
     private double probePace() {
         double sum = sum(List.of(products), p -> p.demand);
-        double pace = roll.size() / (PROBE_SHARE * Math.max(sum, 1)) * 1000;
+        double pace = sum <= 0 ? 0 : roll.size() / (PROBE_SHARE * sum) * 1000;
         return Math.max(PROBE_EVERY, Math.min(4 * PROBE_EVERY, pace));
     }
 
@@ -740,7 +740,7 @@
         waitingAt = now;
         double cost = sum(to, p -> lines + (open(p) ? 0 : head));
         for (Proxy p : to) {
-            while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN) {
+            while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
                 p.messages.pollFirst();
             }
             if (messageCap > 0 && !open(p) && p.messages.size() + 1 > part * messageCap) {
