--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -65,8 +65,8 @@
     /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
     private static final double TRUSTED = 0.5;
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
-    private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
-    private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
+    private static final double PROBE_EVERY = 500; // at the soonest, while a replica answers
+    private static final double PROBE_SHARE = 0.5; // probes for each txn, at most
 
     private final SplittableRandom chance;
     private final Product[] products;
