--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -65,8 +65,10 @@
     /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
     private static final double TRUSTED = 0.5;
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
-    private static final double PROBE_EVERY = 500; // at the soonest, while a replica answers
-    private static final double PROBE_SHARE = 0.5; // probes for each txn, at most
+    private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
+    private static final double TENDER = 0.7; // of what a cold replica can do, the most it is sent
+    private static final double JAM_VOIDED = 0.25; // share voided that, on a busy fleet, ends further tries
+    private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
     private final SplittableRandom chance;
     private final Product[] products;
@@ -89,12 +91,14 @@
     private long dueCount, turns;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
-    private boolean news, ordinary, strained, wholeList, firstList;
+    private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
     /** Share of all demand that is let in, and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
+    /** Of all tries, the part that a warm replica can do: with repeats in a jam it is little. */
+    private double tender = 1;
 
     // ---- what the site states
 
@@ -228,6 +232,7 @@
             r.settledAt = now;
         }
         reported(r, load);
+        met = true;
     }
 
     private void reported(Replica r, double load) {
@@ -367,7 +372,8 @@
                     continue;
                 }
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                int retry = strained || meanLoad == 0 ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
+                boolean jam = strained || !met || meanLoad > BUSY && voidShare > JAM_VOIDED;
+                int retry = jam ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
                 if ((t.letIn[k] < 0 || moves) && fits(audience(t), 1, ORDINARY)) {
@@ -496,6 +502,8 @@
             r.voided *= quick;
             r.waited *= quick;
         }
+        double sent = tries * (1 - quick);
+        tender = sent > 0 && busy > 0 ? Math.min(1, TENDER * TURN * settled / busy / sent) : 1;
         double listed = sum(roll, r -> r.listedWeight) / roll.size();
         for (Replica r : roll) {
             r.speed = busy <= 0 ? r.listedWeight / listed
@@ -516,6 +524,7 @@
      */
     private void step(Table t) {
         double mean = mean(t);
+        double total = sum(t.rows.values(), this::want);
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
@@ -530,7 +539,7 @@
             }
             double next = Math.rint((row.weight + target) / 2);
             double cap = Math.max(SLOW_START * mean * spared(), row.weight * GROWTH);
-            cap = young(r) ? Math.min(cap, mean * coldShare(r) * spared()) : cap;
+            cap = young(r) ? Math.min(cap, coldShare(r) * Math.min(mean, tender * total)) : cap;
             row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
         }
     }
