Voids weigh relative to the fleet's and speeds are remembered longer while strained

Cause: in a jam each report of voids cut the weights by squares, so load leapt in waves of ten seconds.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -32,6 +32,7 @@
     private static final double TURN = 1000; // a cycle: weights and levels move once in it
     /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
     private static final double MEMORY = 6000;
+    private static final double LONG_MEMORY = 18_000; // while strained: queues blur what a try tells of speed
     /** The same for health and for the load that zeroing goes by: trouble must show at once. */
     private static final double SHORT_MEMORY = 2500;
     /** How much the listed weight counts beside the evidence, as a part of an average replica's. */
@@ -477,7 +478,7 @@
     // ---- the turn: what weights and levels should be
 
     private void turn() {
-        double fade = Math.exp(-TURN / MEMORY);
+        double fade = Math.exp(-TURN / (strained ? LONG_MEMORY : MEMORY));
         double quick = Math.exp(-TURN / SHORT_MEMORY);
         for (Replica r : roll) {
             r.busyTime = r.busyTime * fade + (fresh(r) ? r.load * TURN : 0);
@@ -532,7 +533,7 @@
                 continue;
             }
             double perShare = usual / Math.max(r.speed, 1e-3);
-            double sound = 1 - r.voided / (r.tries + 2);
+            double sound = Math.min(1, (1 - r.voided / (r.tries + 2)) / (1 - voidShare));
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * room(t, r) * sound * sound;
             if (r.steadyLoad > BUSY && r.steadyLoad > CROWDED * meanLoad) {
                 target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
