--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -67,8 +67,8 @@
     private static final double TRUSTED = 0.5;
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
+    private static final double COLD_VOIDED = 0.15; // share voided past which cold replicas wait
     private static final double TENDER = 0.7; // of what a cold replica can do, the most it is sent
-    private static final double JAM_VOIDED = 0.25; // share voided that, on a busy fleet, ends further tries
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
     private final SplittableRandom chance;
@@ -92,6 +92,8 @@
     private long dueCount, turns;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
+    /** Cold replicas get no line: in a jam proxies shun the full ones, and all that they shun would go there. */
+    private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
     /** Share of all demand that is let in, and over the last turns, for reports tell of the oldest. */
@@ -373,7 +375,7 @@
                     continue;
                 }
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                boolean jam = strained || !met || meanLoad > BUSY && voidShare > JAM_VOIDED;
+                boolean jam = strained || !met || meanLoad > BUSY;
                 int retry = jam ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
@@ -429,7 +431,8 @@
             }
         }
         for (Table t : tables) {
-            if (sum(t.rows.values(), this::want) == 0) {
+            if (!t.rows.isEmpty() && sum(t.rows.values(), this::want) == 0) {
+                holdCold = false;
                 for (Table.Row row : t.rows.values()) {
                     row.replica.out = false;
                 }
@@ -512,6 +515,8 @@
                     / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
         admit(load, answerTime);
+        holdCold = !met || voidShare > COLD_VOIDED;
+        judge();
         for (Table t : tables) {
             if (busy > 0) {
                 step(t);
@@ -529,7 +534,7 @@
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
-            if (r.stage != Stage.READY || r.out) {
+            if (want(row) == 0) {
                 continue;
             }
             double perShare = usual / Math.max(r.speed, 1e-3);
@@ -539,7 +544,7 @@
                 target = Math.min(target, row.weight * Math.max(0.5, 2 * meanLoad / r.steadyLoad - 1));
             }
             double next = Math.rint((row.weight + target) / 2);
-            double cap = Math.max(SLOW_START * mean * spared(), row.weight * GROWTH);
+            double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
             cap = young(r) ? Math.min(cap, coldShare(r) * Math.min(mean, tender * total)) : cap;
             row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
         }
@@ -660,7 +665,8 @@
     }
 
     private double want(Table.Row row) {
-        return row.replica.stage != Stage.READY || row.replica.out ? 0 : row.weight;
+        Replica r = row.replica;
+        return r.stage != Stage.READY || r.out || holdCold && young(r) ? 0 : row.weight;
     }
 
     private boolean empty(Table t) {
