--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -68,7 +68,6 @@
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
     private static final double COLD_VOIDED = 0.15; // share voided past which cold replicas wait
-    private static final double TENDER = 0.7; // of what a cold replica can do, the most it is sent
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
     private final SplittableRandom chance;
@@ -92,7 +91,7 @@
     private long dueCount, turns;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
-    /** Cold replicas get no line: in a jam proxies shun the full ones, and all that they shun would go there. */
+    /** Cold replicas get no line: in a jam proxies shun the full ones, and all of that would go there. */
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
@@ -100,8 +99,6 @@
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
-    /** Of all tries, the part that a warm replica can do: with repeats in a jam it is little. */
-    private double tender = 1;
 
     // ---- what the site states
 
@@ -506,8 +503,6 @@
             r.voided *= quick;
             r.waited *= quick;
         }
-        double sent = tries * (1 - quick);
-        tender = sent > 0 && busy > 0 ? Math.min(1, TENDER * TURN * settled / busy / sent) : 1;
         double listed = sum(roll, r -> r.listedWeight) / roll.size();
         for (Replica r : roll) {
             r.speed = busy <= 0 ? r.listedWeight / listed
@@ -530,7 +525,6 @@
      */
     private void step(Table t) {
         double mean = mean(t);
-        double total = sum(t.rows.values(), this::want);
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
@@ -545,7 +539,7 @@
             }
             double next = Math.rint((row.weight + target) / 2);
             double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
-            cap = young(r) ? Math.min(cap, coldShare(r) * Math.min(mean, tender * total)) : cap;
+            cap = young(r) ? Math.min(cap, coldShare(r) * mean) : cap;
             row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
         }
     }
@@ -691,12 +685,7 @@
     }
 
     private double start(Table t) {
-        return Math.max(1, Math.rint(mean(t) * SLOW_START * spared()));
-    }
-
-    /** A cold one gets less while tries are voided and come again: a tenth of a jam would push it over. */
-    private double spared() {
-        return (1 - voidShare) * (1 - voidShare);
+        return Math.max(1, Math.rint(mean(t) * SLOW_START));
     }
 
     private double listedShare(Table t, Replica r) {
