--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -91,7 +91,7 @@
     private long dueCount, turns;
     private double dueBell = Double.POSITIVE_INFINITY;
     private boolean turnDue = true;
-    /** Cold replicas get no line: in a jam proxies shun the full ones, and all of that would go there. */
+    /** Cold replicas get no line: in a jam, proxies shun the full ones, and all of that would go there. */
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
@@ -252,6 +252,7 @@
     public void joined(int id, int zone, double usual, boolean bare) {
         Proxy p = new Proxy(id, zone, products.length);
         p.bare = bare;
+        p.joinedAt = now;
         for (int k = 0; k < products.length; k++) {
             p.demand[k] = Math.max(0, usual) / products.length;
         }
@@ -458,7 +459,12 @@
 
     /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
-        return now - r.settledAt < 1.5 * reportEvery || turns * TURN < 3 * reportEvery;
+        return now - r.settledAt < 1.5 * reportEvery || turns * TURN < unmet();
+    }
+
+    /** How long it takes until what a newly joined proxy meets has been reported. */
+    private double unmet() {
+        return 3 * reportEvery;
     }
 
     /** A report that is older is no sign of a low load, nor of a high one. */
@@ -510,7 +516,7 @@
                     / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
         admit(load, answerTime);
-        holdCold = !met || voidShare > COLD_VOIDED;
+        holdCold = voidShare > COLD_VOIDED || sum(proxies.values(), p -> now - p.joinedAt < unmet() ? 1 : 0) > 0;
         judge();
         for (Table t : tables) {
             if (busy > 0) {
--- a/src/main/java/sprucelanding/Proxy.java
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -8,6 +8,7 @@
     final int zone;
     /** It holds only what it started with, and no orders. */
     boolean bare;
+    double joinedAt;
     /** The tables it was put on, as a mask of their numbers. */
     long tables;
     /** When messages were ordered for it, oldest first. */
