--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -26,8 +26,7 @@
 
     public enum Admission { SHARE, RATE, NONE }
 
-    private static final int TURN_BELL = 1;
-    private static final int DUE_BELL = 2;
+    private static final int TURN_BELL = 1, DUE_BELL = 2;
 
     private static final double TURN = 1000; // a cycle: weights and levels move once in it
     /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
@@ -50,14 +49,17 @@
     private static final int SILENT_AFTER = 4;
     /** Of a table's lines, at least this part stays when silence, or when failure or load, takes some out. */
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
-    private static final double SICK = 0.35; // share of tries voided, above the fleet's, that is a sickness
+    /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
+    private static final double SICK = 0.35, SICK_FULL = 0.3;
+    private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
     /** How many turns pass until a level shows in the reports. */
     private static final int LAG_TURNS = 3;
-    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2;
+    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2, RECOVERY = 1.4;
     /** What slow and voided answers add to a full load at most. */
     private static final double MOST_EXTRA = 1;
+    private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
     private static final double ORDINARY = 0.5, URGENT = 0.75, BINDING = 1;
@@ -74,8 +76,7 @@
     private final Product[] products;
     private final List<Table> tables = new ArrayList<>();
     private final Map<Long, Replica> replicas = new LinkedHashMap<>();
-    /** The replicas listed as ready. */
-    private final List<Replica> roll = new ArrayList<>();
+    private List<Replica> roll = List.of(); // the replicas listed as ready
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
@@ -245,18 +246,13 @@
     public void came(int proxy, int product, int count, double span) {
         Proxy p = proxies.get(proxy);
         if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
-            p.demand[product] += (count / span * 1000 - p.demand[product]) * 0.5;
+            p.demand[product] += (count / span * 1000 - p.demand[product]) / 2;
         }
     }
 
     public void joined(int id, int zone, double usual, boolean bare) {
-        Proxy p = new Proxy(id, zone, products.length);
-        p.bare = bare;
-        p.joinedAt = now;
-        for (int k = 0; k < products.length; k++) {
-            p.demand[k] = Math.max(0, usual) / products.length;
-        }
-        proxies.put(id, p);
+        double each = Math.max(0, usual) / products.length;
+        proxies.put(id, new Proxy(id, zone, bare, now, each, products.length));
     }
 
     public void left(int id) {
@@ -349,15 +345,12 @@
     private boolean binds(Orders orders) {
         for (Table t : tables) {
             for (Proxy p : proxies.values()) {
-                boolean bound = (p.tables >> t.number & 1) == 1;
-                boolean fits = (t.home < 0 || t.home == p.zone) && (p.bare || turns > FIRST_LOOK);
-                if (!bound && fits && !empty(t)) {
-                    int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
-                    if (fits(List.of(p), lines, URGENT)) {
-                        p.tables |= 1L << t.number;
-                        orders.bind(t.number, p, t.products);
-                        return true;
-                    }
+                boolean due = (p.tables >> t.number & 1) == 0 && (t.home < 0 || t.home == p.zone);
+                int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
+                if (due && !empty(t) && (p.bare || turns > FIRST_LOOK) && fits(List.of(p), lines, URGENT)) {
+                    p.tables |= 1L << t.number;
+                    orders.bind(t.number, p, t.products);
+                    return true;
                 }
             }
         }
@@ -369,15 +362,12 @@
         for (Table t : tables) {
             for (Product product : products) {
                 int k = product.index;
-                if ((t.products >> k & 1) == 0) {
-                    continue;
-                }
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                boolean jam = strained || !met || meanLoad > BUSY;
-                int retry = jam ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
+                int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
-                if ((t.letIn[k] < 0 || moves) && fits(audience(t), 1, ORDINARY)) {
+                boolean due = (t.products >> k & 1) == 1 && (t.letIn[k] < 0 || moves);
+                if (due && fits(audience(t), 1, ORDINARY)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
@@ -392,25 +382,14 @@
 
     /** Makes the tables follow the list; one that starts anew comes in through the slow start. */
     private void follow() {
-        roll.clear();
-        for (Replica r : replicas.values()) {
-            if (r.stage == Stage.READY) {
-                roll.add(r);
-            }
-        }
+        roll = replicas.values().stream().filter(r -> r.stage == Stage.READY).toList();
         for (Replica r : roll) {
             if (r.entered) {
                 r.deafUntil = firstList ? 0 : now + 2 * reportEvery;
                 r.unanswered = 0;
                 r.out = false;
                 r.heardAt = r.settledAt = Double.NEGATIVE_INFINITY;
-                forget(r);
-                for (Table t : tables) {
-                    if (open(t, r)) {
-                        t.rows.computeIfAbsent(r, Table.Row::new).weight =
-                                firstList ? listedShare(t, r) * coldShare(r) : start(t);
-                    }
-                }
+                comeIn(r);
             }
             if (probes && !r.probing) {
                 r.probing = true;
@@ -423,17 +402,11 @@
     }
 
     private void judge() {
-        for (Replica r : roll) {
-            if (r.unanswered >= SILENT_AFTER / 2 && !r.out) {
-                silent(r);
-            }
-        }
+        roll.stream().filter(r -> !r.out && r.unanswered >= SILENT_AFTER / 2).forEach(this::silent);
         for (Table t : tables) {
             if (!t.rows.isEmpty() && sum(t.rows.values(), this::want) == 0) {
                 holdCold = false;
-                for (Table.Row row : t.rows.values()) {
-                    row.replica.out = false;
-                }
+                t.rows.keySet().forEach(r -> r.out = false);
                 note("back to the list: no line is left in table " + t.number);
             }
         }
@@ -449,9 +422,9 @@
         double mute = sum(roll, x -> x.unanswered > 0 ? 1 : 0);
         double muteMates = sum(roll, x -> x.unanswered > 0 && x.zone == r.zone ? 1 : 0);
         boolean queued = settles(r) && (strained || meanLoad > SATURATED);
-        boolean together = !queued && muteMates > 1 && muteMates >= 0.8 * mates
-                && mute - muteMates < 0.3 * (roll.size() - mates);
-        boolean lone = mute <= Math.max(1, 0.15 * roll.size());
+        boolean together = !queued && muteMates > 1 && muteMates >= MOST * mates
+                && mute - muteMates < FEW * (roll.size() - mates);
+        boolean lone = mute <= Math.max(1, FEW * roll.size());
         if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
             leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
         }
@@ -516,12 +489,11 @@
                     / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
         admit(load, answerTime);
-        holdCold = voidShare > COLD_VOIDED || sum(proxies.values(), p -> now - p.joinedAt < unmet() ? 1 : 0) > 0;
+        double unmet = sum(proxies.values(), p -> now - p.joinedAt < unmet() ? 1 : 0);
+        holdCold = voidShare > COLD_VOIDED || unmet > 0;
         judge();
-        for (Table t : tables) {
-            if (busy > 0) {
-                step(t);
-            }
+        if (busy > 0) {
+            tables.forEach(this::step);
         }
     }
 
@@ -534,9 +506,6 @@
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
-            if (want(row) == 0) {
-                continue;
-            }
             double perShare = usual / Math.max(r.speed, 1e-3);
             double sound = Math.min(1, (1 - r.voided / (r.tries + 2)) / (1 - voidShare));
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * room(t, r) * sound * sound;
@@ -546,7 +515,9 @@
             double next = Math.rint((row.weight + target) / 2);
             double cap = Math.max(SLOW_START * mean, row.weight * GROWTH);
             cap = young(r) ? Math.min(cap, coldShare(r) * mean) : cap;
-            row.weight = Math.max(1, row.weight < 0.5 * mean || young(r) ? Math.min(next, cap) : next);
+            if (want(row) > 0) {
+                row.weight = Math.max(1, row.weight < mean / 2 || young(r) ? Math.min(next, cap) : next);
+            }
         }
     }
 
@@ -580,7 +551,8 @@
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
-        if (!r.out && r.voided >= 2 && share > SICK + voidShare + (r.steadyLoad > SATURATED ? 0.3 : 0)) {
+        double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
+        if (!r.out && r.voided >= 2 && share > sick) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
             leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
@@ -588,18 +560,20 @@
             leaves(r, 0, STAY_SICK, "load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
         } else if (r.out && !full && now >= r.outUntil && (!probes || r.answered >= 2)) {
             r.out = false;
-            for (Table t : tables) {
-                if (t.rows.containsKey(r)) {
-                    t.rows.get(r).weight = start(t);
-                }
-            }
-            forget(r);
+            comeIn(r);
             note("back " + r.id + ": answers");
         }
     }
 
-    private void forget(Replica r) {
+    /** Through the slow start, with nothing known of it; on the first list, at once for what runs long. */
+    private void comeIn(Replica r) {
         r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
+        for (Table t : tables) {
+            if (open(t, r)) {
+                t.rows.computeIfAbsent(r, Table.Row::new).weight =
+                        firstList ? listedShare(t, r) * coldShare(r) : start(t);
+            }
+        }
     }
 
     /**
@@ -615,14 +589,13 @@
         if (sum <= 0) {
             return;
         }
-        double late = Math.max(0, answerTime * sum / slaTime - 0.5);
+        double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
         double strain = use > SATURATED ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
         boolean was = strained;
         strained = strain > 1 || strained && admitted < 1;
         if (strained) {
-            double measured = past.size() < LAG_TURNS ? 1 : past.peekFirst();
-            double step = measured * GOAL_LOAD / strain;
-            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(1.4 * admitted, step)));
+            double step = (past.size() < LAG_TURNS ? 1 : past.peekFirst()) * GOAL_LOAD / strain;
+            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
         }
         past.addLast(admitted);
         if (past.size() > LAG_TURNS) {
@@ -666,7 +639,7 @@
 
     private double want(Table.Row row) {
         Replica r = row.replica;
-        return r.stage != Stage.READY || r.out || holdCold && young(r) ? 0 : row.weight;
+        return r.stage == Stage.READY && !r.out && !(holdCold && young(r)) ? row.weight : 0;
     }
 
     private boolean empty(Table t) {
--- a/src/main/java/sprucelanding/Proxy.java
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -1,14 +1,15 @@
 package sprucelanding;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /** A proxy whose stream is joined, and what has been sent to it. */
 public final class Proxy {
     public final int id;
     final int zone;
-    /** It holds only what it started with, and no orders. */
-    boolean bare;
-    double joinedAt;
+    /** It joined with what it started with, and no orders. */
+    final boolean bare;
+    final double joinedAt;
     /** The tables it was put on, as a mask of their numbers. */
     long tables;
     /** When messages were ordered for it, oldest first. */
@@ -16,9 +17,12 @@
     /** Txns a second by product, smoothed. */
     final double[] demand;
 
-    Proxy(int id, int zone, int products) {
+    Proxy(int id, int zone, boolean bare, double joinedAt, double usual, int products) {
         this.id = id;
         this.zone = zone;
+        this.bare = bare;
+        this.joinedAt = joinedAt;
         this.demand = new double[products];
+        Arrays.fill(demand, usual);
     }
 }
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -247,4 +247,52 @@
         host.settle();
         assertTrue(host.weight(1) < host.weight(2) / 3);
     }
+
+    @Test
+    void aGovernorThatStartsAnewLooksBeforeItTakesOverTheProxies() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1));
+        host.choice.roll(true);
+        host.list(true, 4);
+        host.choice.joined(5, 0, 100, false);
+        host.choice.joined(6, 0, 100, true);
+        host.settle();
+        assertFalse(host.bound.containsKey(5));
+        assertTrue(host.bound.containsKey(6));
+        assertEquals(Orders.RETRY_NEVER, host.retries.get(0));
+        host.run(2, () -> { });
+        assertTrue(host.bound.containsKey(5));
+    }
+
+    @Test
+    void coldReplicasWaitOutAJamAndTheViewOfNewProxies() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        host.run(2, () -> {
+            for (long id = 1; id <= 6; id++) {
+                host.choice.met(id, 20, 12, 700, 1);
+            }
+        });
+        host.change(1, host.now, Choice.Stage.READY);
+        assertEquals(0, host.weight(1));
+        host.run(8, () -> well(host, 6, 0.5, 10));
+        assertTrue(host.weight(1) > 0);
+        host.choice.joined(10, 0, 50, false);
+        host.run(1, () -> well(host, 6, 0.5, 10));
+        assertEquals(0, host.weight(1));
+    }
+
+    @Test
+    void nearSaturationNoReplicaIsZeroedOrStarved() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(4, () -> well(host, 6, 0.8, 10));
+        host.run(12, () -> {
+            for (long id = 1; id <= 6; id++) {
+                host.choice.met(id, 10, 0, 700, id <= 3 ? 1 : 0.85);
+            }
+            host.choice.came(9, 0, 100, 1000);
+        });
+        for (long id = 1; id <= 6; id++) {
+            assertTrue(host.weight(id) > host.weight(6) / 2, "replica " + id);
+        }
+    }
 }
