--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -51,6 +51,7 @@
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
     /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
     private static final double SICK = 0.35, SICK_FULL = 0.3;
+    private static final double CALM = 0.7; // below this mean load a lone silence is no full queue
     private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
@@ -424,7 +425,7 @@
         boolean queued = settles(r) && (strained || meanLoad > SATURATED);
         boolean together = !queued && muteMates > 1 && muteMates >= MOST * mates
                 && mute - muteMates < FEW * (roll.size() - mates);
-        boolean lone = mute <= Math.max(1, FEW * roll.size());
+        boolean lone = meanLoad < CALM && mute <= Math.max(1, FEW * roll.size());
         if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
             leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
         }
