--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -591,7 +591,7 @@
             return;
         }
         double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
-        double strain = use > SATURATED ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
+        double strain = use > BUSY ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
         boolean was = strained;
         strained = strain > 1 || strained && admitted < 1;
         if (strained) {
