--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -593,7 +593,7 @@
         double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
         double strain = use > BUSY ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
         boolean was = strained;
-        strained = strain > 1 || strained && admitted < 1;
+        strained = strain > SATURATED || strained && admitted < 1;
         if (strained) {
             double step = (past.size() < LAG_TURNS ? 1 : past.peekFirst()) * GOAL_LOAD / strain;
             admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
