--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -97,7 +97,7 @@
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
-    /** Share of all demand that is let in, and over the last turns, for reports tell of the oldest. */
+    /** Share of all demand that is let in; and, for reports tell of the oldest, that by the speed in service. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
@@ -591,14 +591,16 @@
             return;
         }
         double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
+        double crowd = sum(proxies.values(), p -> p.usual) / sum(roll, r -> out(r) ? 0 : r.speed * coldShare(r));
         double strain = use > BUSY ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
+        strain *= past.isEmpty() ? 1 : admitted * crowd / past.peekFirst();
         boolean was = strained;
         strained = strain > SATURATED || strained && admitted < 1;
         if (strained) {
-            double step = (past.size() < LAG_TURNS ? 1 : past.peekFirst()) * GOAL_LOAD / strain;
+            double step = admitted * GOAL_LOAD / strain;
             admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
         }
-        past.addLast(admitted);
+        past.addLast(admitted * crowd);
         if (past.size() > LAG_TURNS) {
             past.pollFirst();
         }
@@ -638,9 +640,12 @@
                 && (t.home < 0 || t.home == r.zone);
     }
 
+    private boolean out(Replica r) {
+        return r.stage != Stage.READY || r.out || holdCold && young(r);
+    }
+
     private double want(Table.Row row) {
-        Replica r = row.replica;
-        return r.stage == Stage.READY && !r.out && !(holdCold && young(r)) ? row.weight : 0;
+        return out(row.replica) ? 0 : row.weight;
     }
 
     private boolean empty(Table t) {
--- a/src/main/java/sprucelanding/Proxy.java
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -10,6 +10,8 @@
     /** It joined with what it started with, and no orders. */
     final boolean bare;
     final double joinedAt;
+    /** Txns a second that it usually gets, by what it was said to when it joined. */
+    final double usual;
     /** The tables it was put on, as a mask of their numbers. */
     long tables;
     /** When messages were ordered for it, oldest first. */
@@ -22,6 +24,7 @@
         this.zone = zone;
         this.bare = bare;
         this.joinedAt = joinedAt;
+        this.usual = usual * products;
         this.demand = new double[products];
         Arrays.fill(demand, usual);
     }
