--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -60,6 +60,7 @@
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2, RECOVERY = 1.4;
     /** What slow and voided answers add to a full load at most. */
     private static final double MOST_EXTRA = 1;
+    private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
@@ -97,7 +98,7 @@
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
-    /** Share of all demand that is let in; and, for reports tell of the oldest, that by the speed in service. */
+    /** Share of all demand that is let in; and, for reports tell of the oldest, how it crowded the servers. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
@@ -591,11 +592,14 @@
             return;
         }
         double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
-        double crowd = sum(proxies.values(), p -> p.usual) / sum(roll, r -> out(r) ? 0 : r.speed * coldShare(r));
+        double service = sum(roll, r -> out(r) ? 0 : r.listedWeight * coldShare(r));
+        double crowd = sum(proxies.values(), p -> roll.stream().anyMatch(r -> r.zone == p.zone && !out(r))
+                ? p.usual : 0) / service;
         double strain = use > BUSY ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
-        strain *= past.isEmpty() ? 1 : admitted * crowd / past.peekFirst();
         boolean was = strained;
         strained = strain > SATURATED || strained && admitted < 1;
+        strain *= past.isEmpty() ? 1 : admitted * crowd / past.peekFirst();
+        strained |= strain > FORESEEN;
         if (strained) {
             double step = admitted * GOAL_LOAD / strain;
             admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
