--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -98,7 +98,7 @@
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
     private final List<Replica> named = new ArrayList<>();
-    /** Share of all demand that is let in; and, for reports tell of the oldest, how it crowded the servers. */
+    /** Share of all demand that is let in; and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
@@ -332,7 +332,11 @@
         if (next == null || !fits(audience(table), 1, part)) {
             return false;
         }
-        next.sent = want(next);
+        double want = want(next);
+        if (want == 0 && !next.replica.withZone) {
+            foresee(next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent)));
+        }
+        next.sent = want;
         orders.line(table.number, next.replica, next.sent);
         if (next.replica.stage == Stage.GONE) {
             table.rows.remove(next.replica);
@@ -350,6 +354,9 @@
                 boolean due = (p.tables >> t.number & 1) == 0 && (t.home < 0 || t.home == p.zone);
                 int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
                 if (due && !empty(t) && (p.bare || turns > FIRST_LOOK) && fits(List.of(p), lines, URGENT)) {
+                    if (p.bare && p.tables == 0) {
+                        foresee(p.usual / sum(proxies.values(), x -> x.usual));
+                    }
                     p.tables |= 1L << t.number;
                     orders.bind(t.number, p, t.products);
                     return true;
@@ -420,18 +427,21 @@
      * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
     private void silent(Replica r) {
-        double mates = sum(roll, x -> x.zone == r.zone ? 1 : 0);
-        double mute = sum(roll, x -> x.unanswered > 0 ? 1 : 0);
-        double muteMates = sum(roll, x -> x.unanswered > 0 && x.zone == r.zone ? 1 : 0);
-        boolean queued = settles(r) && (strained || meanLoad > SATURATED);
-        boolean together = !queued && muteMates > 1 && muteMates >= MOST * mates
-                && mute - muteMates < FEW * (roll.size() - mates);
-        boolean lone = meanLoad < CALM && mute <= Math.max(1, FEW * roll.size());
+        double others = sum(roll, x -> mute(x.zone) < MOST ? 1 : 0);
+        double stray = sum(roll, x -> x.unanswered > 0 && mute(x.zone) < MOST ? 1 : 0);
+        boolean together = mute(r.zone) >= MOST && others > 0 && stray <= FEW * others;
+        boolean lone = meanLoad < CALM && stray <= Math.max(1, FEW * others);
         if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
             leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
+            r.withZone = together;
         }
     }
 
+    /** Share of a zone's replicas that answer no probe. */
+    private double mute(int zone) {
+        return sum(roll, x -> x.zone == zone && x.unanswered > 0 ? 1 : 0) / sum(roll, x -> x.zone == zone ? 1 : 0);
+    }
+
     /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
         return now - r.settledAt < 1.5 * reportEvery || turns * TURN < unmet();
@@ -592,19 +602,16 @@
             return;
         }
         double late = Math.max(0, answerTime * sum / slaTime - USUAL_ANSWER);
-        double service = sum(roll, r -> out(r) ? 0 : r.listedWeight * coldShare(r));
-        double crowd = sum(proxies.values(), p -> roll.stream().anyMatch(r -> r.zone == p.zone && !out(r))
-                ? p.usual : 0) / service;
         double strain = use > BUSY ? use * (1 + Math.min(MOST_EXTRA, late + voidShare)) : use;
         boolean was = strained;
         strained = strain > SATURATED || strained && admitted < 1;
-        strain *= past.isEmpty() ? 1 : admitted * crowd / past.peekFirst();
+        strain *= past.isEmpty() ? 1 : admitted / past.peekFirst();
         strained |= strain > FORESEEN;
         if (strained) {
             double step = admitted * GOAL_LOAD / strain;
             admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
         }
-        past.addLast(admitted * crowd);
+        past.addLast(admitted);
         if (past.size() > LAG_TURNS) {
             past.pollFirst();
         }
@@ -620,6 +627,13 @@
         }
     }
 
+    /** The others' load grows by this share: a replica left alone, or a proxy's traffic came (back). */
+    private void foresee(double share) {
+        for (int i = turns > LAG_TURNS ? past.size() : 0; i > 0; i--) {
+            past.addLast(past.pollFirst() * Math.max(LEAST_LOAD, 1 - share));
+        }
+    }
+
     /** The rate at each proxy that lets in the product's share: those that get little keep all of it. */
     private double rate(Product product) {
         if (product.level >= 1) {
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -36,6 +36,8 @@
     boolean out;
     double outUntil = Double.NEGATIVE_INFINITY;
     double sentence;
+    /** It fell silent together with its zone, whose proxies then are likely lost as well. */
+    boolean withZone;
 
     Replica(long id) {
         this.id = id;
