--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -45,8 +45,7 @@
     private static final double ZERO_PAST = 0.95;
     /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
     private static final double CROWDED = 1.25, ABOVE_REST = 1.5;
-    /** Missed probes that make a replica silent: four, or two refused connections. */
-    private static final int SILENT_AFTER = 4;
+    private static final int SILENT_AFTER = 4; // probes missed in a row; a refused connection counts twice
     /** Of a table's lines, at least this part stays when silence, or when failure or load, takes some out. */
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
     /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
@@ -55,11 +54,9 @@
     private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
-    /** How many turns pass until a level shows in the reports. */
-    private static final int LAG_TURNS = 3;
+    private static final int LAG_TURNS = 3; // until a level shows in the reports
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2, RECOVERY = 1.4;
-    /** What slow and voided answers add to a full load at most. */
-    private static final double MOST_EXTRA = 1;
+    private static final double MOST_EXTRA = 1; // what slow and voided answers add to a busy load at most
     private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
     private static final double UNLIMITED = 1_000_000;
@@ -188,10 +185,8 @@
     }
 
     public void listCloses() {
-        for (Replica r : replicas.values()) {
-            if (wholeList && !named.contains(r)) {
-                r.stage = Stage.GONE;
-            }
+        if (wholeList) {
+            replicas.values().stream().filter(r -> !named.contains(r)).forEach(r -> r.stage = Stage.GONE);
         }
     }
 
@@ -295,19 +290,16 @@
     }
 
     private boolean dues(Orders orders) {
-        while (!due.isEmpty() && due.first().at() <= now) {
-            Replica r = due.pollFirst().replica();
-            if (r == null) {
-                orders.watchList();
-                return true;
-            }
-            if (r.stage == Stage.READY) {
-                orders.probe(r);
-                return true;
-            }
-            r.probing = false;
+        if (due.isEmpty() || due.first().at() > now) {
+            return false;
         }
-        return false;
+        Replica r = due.pollFirst().replica();
+        if (r == null) {
+            orders.watchList();
+        } else {
+            orders.probe(r);
+        }
+        return true;
     }
 
     /** The next line to order: removals first, then cuts that can't wait, then the largest change. */
@@ -439,7 +431,8 @@
 
     /** Share of a zone's replicas that answer no probe. */
     private double mute(int zone) {
-        return sum(roll, x -> x.zone == zone && x.unanswered > 0 ? 1 : 0) / sum(roll, x -> x.zone == zone ? 1 : 0);
+        double all = sum(roll, x -> x.zone == zone ? 1 : 0);
+        return sum(roll, x -> x.zone == zone && x.unanswered > 0 ? 1 : 0) / all;
     }
 
     /** Whether reports told of settled txns of late, or none can have come yet. */
@@ -548,11 +541,7 @@
     }
 
     private double demand(Table t) {
-        double demand = 0;
-        for (Product p : products) {
-            demand += (t.products >> p.index & 1) == 1 ? p.demand * p.level : 0;
-        }
-        return demand;
+        return sum(List.of(products), p -> (t.products >> p.index & 1) == 1 ? p.demand * p.level : 0);
     }
 
     /**
@@ -672,14 +661,11 @@
 
     /** Whether enough others stay in each of its tables: the rest must not tip over for want of one. */
     private boolean mayLeave(Replica r, double share) {
-        for (Table t : tables) {
+        return tables.stream().filter(t -> t.rows.containsKey(r)).allMatch(t -> {
             double listed = sum(t.rows.values(), row -> row.replica.stage == Stage.READY ? 1 : 0);
             double stay = sum(t.rows.values(), row -> row.replica != r && want(row) > 0 ? 1 : 0);
-            if (t.rows.containsKey(r) && stay < Math.max(1, listed * share)) {
-                return false;
-            }
-        }
-        return true;
+            return stay >= Math.max(1, listed * share);
+        });
     }
 
     private double mean(Table t) {
@@ -747,24 +733,16 @@
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
         double cost = sum(to, p -> lines + (open(p) ? 0 : head));
+        boolean fits = waiting + cost <= part * queueCap;
         for (Proxy p : to) {
-            while (!p.messages.isEmpty() && p.messages.peekFirst() < now - messageSpan - TURN / 4) {
-                p.messages.pollFirst();
-            }
-            if (messageCap > 0 && !open(p) && p.messages.size() + 1 > part * messageCap) {
-                return false;
-            }
+            p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
+            fits &= messageCap == 0 || open(p) || p.messages.size() + 1 <= part * messageCap;
         }
-        if (waiting + cost > part * queueCap) {
-            return false;
+        if (fits) {
+            waiting += cost;
+            to.stream().filter(p -> !open(p)).forEach(p -> p.messages.addLast(now));
         }
-        waiting += cost;
-        for (Proxy p : to) {
-            if (!open(p)) {
-                p.messages.addLast(now);
-            }
-        }
-        return true;
+        return fits;
     }
 
     /** Whether it gets a message now anyway: what is ordered at one time travels together. */
