--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -229,7 +229,7 @@
         if (tries > bad) {
             r.settledAt = now;
         }
-        reported(r, load);
+        reported(r, probes && fresh(r) ? Double.NaN : load); // a probe's load is younger
         met = true;
     }
 
