--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -57,7 +57,6 @@
     private static final int LAG_TURNS = 3; // until a level shows in the reports
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2, RECOVERY = 1.4;
     private static final double MOST_EXTRA = 1; // what slow and voided answers add to a busy load at most
-    private static final double GENTLE = 0.85; // while answers are not slow, the most a cut leaves
     private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
     private static final double UNLIMITED = 1_000_000;
@@ -598,9 +597,9 @@
         strain *= past.isEmpty() ? 1 : admitted / past.peekFirst();
         strained |= strain > FORESEEN;
         if (strained) {
-            double step = admitted * GOAL_LOAD / strain;
-            double least = Math.max(LEAST_ADMITTED, late > 0 ? 0 : GENTLE * admitted);
-            admitted = Math.min(1, Math.max(least, Math.min(RECOVERY * admitted, step)));
+            double goal = admitted * GOAL_LOAD / strain;
+            double step = strain > 1 ? goal : (admitted + goal) / 2;
+            admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
         }
         past.addLast(admitted);
         if (past.size() > LAG_TURNS) {
