--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -40,7 +40,7 @@
     private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
     private static final double USUAL_LOAD = 0.5; // load assumed while none is known
     /** Past this load a weight shrinks at once; past this mean load queues grow; levels steer for this. */
-    private static final double BUSY = 0.8, SATURATED = 0.75, GOAL_LOAD = 0.7;
+    private static final double BUSY = 0.8, SATURATED = 0.8, GOAL_LOAD = 0.73;
     /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
     private static final double ZERO_PAST = 0.95;
     /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
