--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -40,7 +40,7 @@
     private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
     private static final double USUAL_LOAD = 0.5; // load assumed while none is known
     /** Past this load a weight shrinks at once; past this mean load queues grow; levels steer for this. */
-    private static final double BUSY = 0.8, SATURATED = 0.8, GOAL_LOAD = 0.73;
+    private static final double BUSY = 0.8, SATURATED = 0.75, GOAL_LOAD = 0.7;
     /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
     private static final double ZERO_PAST = 0.95;
     /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
@@ -203,6 +203,7 @@
         }
         news = true;
         reported(r, load);
+        r.toldAt = load >= 0 ? now : r.toldAt;
         if (answer == Answer.OK) {
             r.unanswered = 0;
             r.answered++;
@@ -229,7 +230,7 @@
         if (tries > bad) {
             r.settledAt = now;
         }
-        reported(r, probes && fresh(r) ? Double.NaN : load); // a probe's load is younger
+        reported(r, now - r.toldAt < 2 * reportEvery + PROBE_EVERY ? Double.NaN : load); // a probe's is newer
         met = true;
     }
 
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -16,6 +16,8 @@
     double load;
     double steadyLoad;
     double heardAt = Double.NEGATIVE_INFINITY;
+    /** When a probe last brought a load. */
+    double toldAt = Double.NEGATIVE_INFINITY;
     /** When a report last told of a settled try; reports before deafUntil tell of an earlier life. */
     double settledAt = Double.NEGATIVE_INFINITY;
     double deafUntil;
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -295,4 +295,41 @@
             assertTrue(host.weight(id) > host.weight(6) / 2, "replica " + id);
         }
     }
+
+    @Test
+    void twoSilentZonesOfThreeAreACutSeenFromInside() {
+        FakeHost host = FakeHost.usual(9);
+        host.run(3, () -> well(host, 9, 0.5, 10));
+        for (long id : new long[] {1, 2, 4, 5, 7, 8}) {
+            host.ill.put(id, Choice.Answer.SILENT);
+        }
+        host.run(3, () -> well(host, 9, 0.5, 10));
+        assertEquals(0, host.weight(1) + host.weight(5) + host.weight(8));
+        assertTrue(host.weight(3) > 0);
+    }
+
+    @Test
+    void theLossOfHalfTheFleetIsForeseenBeforeTheLoadShows() {
+        FakeHost host = FakeHost.usual(8);
+        host.run(6, () -> well(host, 8, 0.65, 10));
+        for (long id = 1; id <= 4; id++) {
+            host.choice.listOpens(false, false);
+            host.choice.listed(id, (int) (id % 3), 0, 1, 0, Choice.Stage.DRAINING);
+            host.choice.listCloses();
+        }
+        host.run(2, () -> well(host, 8, 0.65, 10));
+        assertTrue(host.levels.get(0) < 0.9);
+    }
+
+    @Test
+    void aProbesLoadIsNotOverwrittenByOlderSums() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(12, () -> {
+            well(host, 6, 0.99, 10);
+            for (long id = 1; id <= 6; id++) {
+                host.choice.probed(id, Choice.Answer.OK, 0.4);
+            }
+        });
+        assertEquals(1, host.levels.get(0));
+    }
 }
