--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -312,7 +312,7 @@
             for (Table.Row row : t.rows.values()) {
                 double want = want(row);
                 double change = want == row.sent ? 0 : Math.abs(want - row.sent) / Math.max(want, row.sent);
-                boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent);
+                boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent / 2);
                 double rank = !soon ? change : change + (row.replica.stage != Stage.READY ? MUST : SOON);
                 if ((soon || ordinary && change >= CHANGE || empty(t)) && change > 0 && rank > most) {
                     table = t;
@@ -369,7 +369,7 @@
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
                 boolean due = (t.products >> k & 1) == 1 && (t.letIn[k] < 0 || moves);
-                if (due && fits(audience(t), 1, ORDINARY)) {
+                if (due && fits(audience(t), 1, strained ? URGENT : ORDINARY)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
