--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -29,20 +29,16 @@
     private static final int TURN_BELL = 1, DUE_BELL = 2;
 
     private static final double TURN = 1000; // a cycle: weights and levels move once in it
-    /** How long busy time and tries count for the speed: a weight should rest on some dozens of tries. */
-    private static final double MEMORY = 6000;
+    private static final double MEMORY = 6000; // for the speed: a weight should rest on some dozens of tries
     private static final double LONG_MEMORY = 18_000; // while strained: queues blur what a try tells of speed
-    /** The same for health and for the load that zeroing goes by: trouble must show at once. */
-    private static final double SHORT_MEMORY = 2500;
-    /** How much the listed weight counts beside the evidence, as a part of an average replica's. */
-    private static final double PRIOR = 0.3;
+    private static final double SHORT_MEMORY = 2500; // for health and zeroing: trouble must show at once
+    private static final double PRIOR = 0.3; // the listed weight's part, beside an average replica's evidence
     /** The design's figures: weight at full load, least load that counts, slow start, growth, change sent. */
     private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
     private static final double USUAL_LOAD = 0.5; // load assumed while none is known
     /** Past this load a weight shrinks at once; past this mean load queues grow; levels steer for this. */
     private static final double BUSY = 0.8, SATURATED = 0.75, GOAL_LOAD = 0.7;
-    /** The zeroing threshold: a few cores often look busy at 80%, so it takes all of them, and for longer. */
-    private static final double ZERO_PAST = 0.95;
+    private static final double ZERO_PAST = 0.95; // over the design's 80%: few cores often look that busy
     /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
     private static final double CROWDED = 1.25, ABOVE_REST = 1.5;
     private static final int SILENT_AFTER = 4; // probes missed in a row; a refused connection counts twice
@@ -64,10 +60,10 @@
     private static final double ORDINARY = 0.5, URGENT = 0.75, BINDING = 1;
     /** Ranks of lines: what the rules ask, what can't wait; all others rank by their change, up to 1. */
     private static final double MUST = 4, SOON = 2;
-    /** Of the channel's stated pace, what is counted on: it may run slow for a while. */
-    private static final double TRUSTED = 0.5;
+    private static final double TRUSTED = 0.5; // of the channel's stated pace: it may run slow for a while
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
+    private static final double TENDER = 0.5; // of the time to get warm, in which a jam can push one over
     private static final double COLD_VOIDED = 0.15; // share voided past which cold replicas wait
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
@@ -495,8 +491,9 @@
                     / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
         admit(load, answerTime);
-        double unmet = sum(proxies.values(), p -> now - p.joinedAt < unmet() ? 1 : 0);
-        holdCold = voidShare > COLD_VOIDED || unmet > 0;
+        boolean unmet = proxies.values().stream().anyMatch(p -> now - p.joinedAt < unmet());
+        boolean few = roll.stream().filter(this::tender).count() <= STAY_SICK * roll.size();
+        holdCold = (voidShare > COLD_VOIDED || unmet) && few;
         judge();
         if (busy > 0) {
             tables.forEach(this::step);
@@ -650,7 +647,7 @@
     }
 
     private boolean out(Replica r) {
-        return r.stage != Stage.READY || r.out || holdCold && young(r);
+        return r.stage != Stage.READY || r.out || holdCold && tender(r);
     }
 
     private double want(Table.Row row) {
@@ -702,6 +699,10 @@
         return r.startedAt > 0 && now - r.startedAt < warmAfter;
     }
 
+    private boolean tender(Replica r) {
+        return young(r) && now - r.startedAt < warmAfter * TENDER;
+    }
+
     private double coldShare(Replica r) {
         return young(r) ? coldFrom + (1 - coldFrom) * (now - r.startedAt) / warmAfter : 1;
     }
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -332,4 +332,36 @@
         });
         assertEquals(1, host.levels.get(0));
     }
+
+    @Test
+    void aFleetThatIsColdByHalfDoesNotWait() {
+        FakeHost host = FakeHost.usual(6);
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        for (long id = 1; id <= 4; id++) {
+            host.change(id, host.now - 1, Choice.Stage.READY);
+        }
+        host.run(3, () -> {
+            for (long id = 1; id <= 6; id++) {
+                host.choice.met(id, 20, 12, 700, 1);
+            }
+        });
+        for (long id = 1; id <= 4; id++) {
+            assertTrue(host.weight(id) > 0, "replica " + id);
+        }
+    }
+
+    @Test
+    void levelsGetThroughWhenCutsHaveUsedTheOrdinaryMessages() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 12, FakeHost.product(0, true, 1));
+        host.choice.roll(true);
+        host.list(true, 9);
+        host.choice.joined(9, 0, 100, true);
+        host.settle();
+        host.run(5, () -> well(host, 9, 0.6, 10));
+        host.run(6, () -> {
+            well(host, 9, 1, 10);
+            host.change(1 + (long) (host.now / 1000) % 9, host.now, Choice.Stage.READY);
+        });
+        assertTrue(host.levels.get(0) < 0.8);
+    }
 }
