--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -51,7 +51,7 @@
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
     private static final int LAG_TURNS = 3; // until a level shows in the reports
-    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.2, RECOVERY = 1.4;
+    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.4;
     private static final double MOST_EXTRA = 1; // what slow and voided answers add to a busy load at most
     private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
