--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -322,8 +322,9 @@
             return false;
         }
         double want = want(next);
-        if (want == 0 && !next.replica.withZone) {
-            foresee(next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent)));
+        if (want == 0) {
+            double share = next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent));
+            foresee(next.replica.withZone ? share / 2 : share); // a cut takes its zone's traffic along
         }
         next.sent = want;
         orders.line(table.number, next.replica, next.sent);
