--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -51,7 +51,7 @@
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
     private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
     private static final int LAG_TURNS = 3; // until a level shows in the reports
-    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.4;
+    private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6;
     private static final double MOST_EXTRA = 1; // what slow and voided answers add to a busy load at most
     private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
@@ -322,9 +322,8 @@
             return false;
         }
         double want = want(next);
-        if (want == 0) {
-            double share = next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent));
-            foresee(next.replica.withZone ? share / 2 : share); // a cut takes its zone's traffic along
+        if (want == 0 && !next.replica.withZone) {
+            foresee(next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent)));
         }
         next.sent = want;
         orders.line(table.number, next.replica, next.sent);
@@ -597,7 +596,7 @@
         strained |= strain > FORESEEN;
         if (strained) {
             double goal = admitted * GOAL_LOAD / strain;
-            double step = strain > 1 ? goal : (admitted + goal) / 2;
+            double step = strain > 1 || strain < GOAL_LOAD / 2 ? goal : (admitted + goal) / 2;
             admitted = Math.min(1, Math.max(LEAST_ADMITTED, Math.min(RECOVERY * admitted, step)));
         }
         past.addLast(admitted);
