--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -46,7 +46,6 @@
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
     /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
     private static final double SICK = 0.35, SICK_FULL = 0.3;
-    private static final double FEWEST_DUE = 5, MISSING = 0.25; // tries due, and the part that is too few
     private static final double CALM = 0.7; // below this mean load a lone silence is no full queue
     private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
@@ -95,7 +94,7 @@
     /** Share of all demand that is let in; and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
-    private double meanLoad, voidShare, triesPerWeight;
+    private double meanLoad, voidShare;
 
     // ---- what the site states
 
@@ -406,7 +405,7 @@
             if (!t.rows.isEmpty() && sum(t.rows.values(), this::want) == 0) {
                 holdCold = false;
                 t.rows.keySet().forEach(r -> r.out = false);
-                notes.add("back to the list: no line is left in table " + t.number);
+                note("back to the list: no line is left in table " + t.number);
             }
         }
     }
@@ -453,7 +452,7 @@
             r.out = true;
             r.outUntil = now + hold;
             r.answered = 0;
-            notes.add("out " + r.id + ": " + why);
+            note("out " + r.id + ": " + why);
         }
     }
 
@@ -479,7 +478,6 @@
         double voided = sum(roll, r -> r.voided);
         double answerTime = sum(roll, r -> r.waited) / (tries - voided + 1);
         voidShare = voided / (tries + 1);
-        triesPerWeight = weights == 0 ? 0 : tries / weights;
         for (Replica r : roll) {
             health(r);
             r.tries *= quick;
@@ -553,25 +551,22 @@
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
-        double due = now - r.cameInAt < 2 * MEMORY || strained ? 0 : triesPerWeight * part(r);
-        if (!r.out && (r.voided >= 2 && share > sick || due > FEWEST_DUE && r.tries < MISSING * due)) {
+        if (!r.out && r.voided >= 2 && share > sick) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
-            leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare)
-                    + ", tries " + Math.round(r.tries) + " for " + Math.round(due));
+            leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
         } else if (!r.out && full) {
             leaves(r, 0, STAY_SICK, "load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
         } else if (r.out && !full && now >= r.outUntil && (!probes || r.answered >= 2)) {
             r.out = false;
             comeIn(r);
-            notes.add("back " + r.id + ": answers");
+            note("back " + r.id + ": answers");
         }
     }
 
     /** Through the slow start, with nothing known of it; on the first list, at once for what runs long. */
     private void comeIn(Replica r) {
         r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
-        r.cameInAt = now;
         for (Table t : tables) {
             if (open(t, r)) {
                 t.rows.computeIfAbsent(r, Table.Row::new).weight =
@@ -609,7 +604,7 @@
             past.pollFirst();
         }
         if (strained != was) {
-            notes.add((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
+            note((strained ? "declining" : "all let in") + ": use " + percent(use) + ", late " + percent(late)
                     + ", voided " + percent(voidShare));
         }
         for (Product p : products) {
@@ -726,6 +721,10 @@
         due.add(new Due(at, dueCount++, r));
     }
 
+    private void note(String text) {
+        notes.add(text);
+    }
+
     private static String percent(double share) {
         return Math.round(share * 100) + "%";
     }
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -30,8 +30,6 @@
     /** Learnt speed; 1 is the mean. */
     double speed = 1;
 
-    /** When it last came into the tables. */
-    double cameInAt;
     boolean probing;
     /** Probes in a row without an answer, a refused connection counting for two; and with one. */
     int unanswered;
