--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -550,7 +550,7 @@
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
-        double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
+        double sick = SICK + voidShare + (r.steadyLoad > ZERO_PAST ? SICK_FULL : 0);
         if (!r.out && r.voided >= 2 && share > sick) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
