--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -46,7 +46,6 @@
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
     /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
     private static final double SICK = 0.35, SICK_FULL = 0.3;
-    private static final double ERRING = 0.03; // share voided from which safe products try again
     private static final double CALM = 0.7; // below this mean load a lone silence is no full queue
     private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
     /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
@@ -362,9 +361,7 @@
             for (Product product : products) {
                 int k = product.index;
                 double letIn = admission == Admission.RATE ? rate(product) : product.level;
-                boolean again = product.inquiryLike && voidShare > ERRING && meanLoad < CALM;
-                int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER
-                        : again ? Orders.RETRY_ANY : Orders.RETRY_UNRUN;
+                int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
                 boolean due = (t.products >> k & 1) == 1 && (t.letIn[k] < 0 || moves);
