--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -3,9 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -58,8 +63,9 @@
     private static final double UNLIMITED = 1_000_000;
     /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
     private static final double ORDINARY = 0.5, URGENT = 0.75, BINDING = 1;
-    /** Ranks of lines: what the rules ask, what can't wait; all others rank by their change, up to 1. */
-    private static final double MUST = 4, SOON = 2;
+    private static final double LOOSE = 0.67; // of that, in lines: removals of gone servers come in crowds
+    /** Ranks of lines: what the rules ask, what can't wait; the rest by traffic moved, up to 1 at MOVED means. */
+    private static final double MUST = 4, SOON = 2, MOVED = 8;
     private static final double TRUSTED = 0.5; // of the channel's stated pace: it may run slow for a while
     private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000; // at the soonest, while a replica answers
@@ -69,6 +75,8 @@
 
     private final SplittableRandom chance;
     private final Product[] products;
+    /** The tables of all servers; and all that are laid, with the parts that those are cut into. */
+    private final List<Table> wide = new ArrayList<>();
     private final List<Table> tables = new ArrayList<>();
     private final Map<Long, Replica> replicas = new LinkedHashMap<>();
     private List<Replica> roll = List.of(); // the replicas listed as ready
@@ -90,7 +98,10 @@
     /** Cold replicas get no line: in a jam, proxies shun the full ones, and all of that would go there. */
     private boolean holdCold = true;
     private boolean news, ordinary, met, strained, wholeList, firstList;
-    private final List<Replica> named = new ArrayList<>();
+    private final Set<Replica> named = new LinkedHashSet<>();
+    /** What waits to be ordered, first things first; null after anything that may have changed it. */
+    private List<Table.Row> wanted;
+    private List<Proxy> unbound;
     /** Share of all demand that is let in; and over the last turns, for reports tell of the oldest. */
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
@@ -104,19 +115,17 @@
         this.products = products;
         for (Product p : products) {
             for (int home = p.homeOnly ? 0 : -1; home < (p.homeOnly ? zones : 0); home++) {
-                Table same = null;
-                for (Table t : tables) {
-                    if (t.like.kinds == p.kinds && t.like.zones == p.zones && t.home == home) {
-                        same = t;
-                    }
-                }
+                int zone = home;
+                Table same = wide.stream().filter(t -> t.like.kinds.equals(p.kinds)
+                        && t.like.zones.equals(p.zones) && t.home == zone).findFirst().orElse(null);
                 if (same == null) {
-                    same = new Table(tables.size(), p, home, products.length);
-                    tables.add(same);
+                    same = new Table(wide.size(), p, home, null, products.length);
+                    wide.add(same);
                 }
-                same.products |= 1 << p.index;
+                same.products.set(p.index);
             }
         }
+        tables.addAll(wide);
     }
 
     public void roll(boolean pushed) {
@@ -245,12 +254,16 @@
     }
 
     public void joined(int id, int zone, double usual, boolean bare) {
+        left(id);
         double each = Math.max(0, usual) / products.length;
         proxies.put(id, new Proxy(id, zone, bare, now, each, products.length));
+        unbound = null;
     }
 
     public void left(int id) {
-        proxies.remove(id);
+        Proxy gone = proxies.remove(id);
+        tables.forEach(t -> t.users.remove(gone));
+        unbound = null;
     }
 
     // ---- decisions
@@ -259,12 +272,15 @@
     public boolean decide(Orders orders) {
         if (news) {
             news = false;
+            wanted = null;
             follow();
             judge();
         }
         if (turnDue) {
             turnDue = false;
             ordinary = true;
+            wanted = null;
+            unbound = null;
             turns++;
             turn();
             orders.timer(TURN_BELL, now + TURN);
@@ -299,73 +315,117 @@
         return true;
     }
 
-    /** The next line to order: removals first, then cuts that can't wait, then the largest change. */
+    /** The next line to order: removals first, then cuts that can't wait, then what moves most traffic. */
     private boolean lines(Orders orders) {
-        Table table = null;
-        Table.Row next = null;
-        double most = 0;
-        for (Table t : tables) {
-            for (Table.Row row : t.rows.values()) {
-                double want = want(row);
-                double change = want == row.sent ? 0 : Math.abs(want - row.sent) / Math.max(want, row.sent);
-                boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent / 2);
-                double rank = !soon ? change : change + (row.replica.stage != Stage.READY ? MUST : SOON);
-                if ((soon || ordinary && change >= CHANGE || empty(t)) && change > 0 && rank > most) {
-                    table = t;
-                    next = row;
-                    most = rank;
+        if (wanted == null) {
+            wanted = new ArrayList<>();
+            tables.forEach(t -> rank(t, wanted));
+            wanted.sort(Comparator.comparingDouble((Table.Row row) -> -row.rank));
+        }
+        Set<Table> full = new HashSet<>();
+        for (Table.Row row : wanted) {
+            Table table = row.table;
+            boolean must = row.rank >= MUST;
+            if (row.rank < SOON && !ordinary && !empty(table) || full.contains(table)) {
+                continue;
+            }
+            double part = must ? BINDING : row.rank >= SOON ? URGENT : ORDINARY;
+            if (!must && !spaced(table, part) || !fits(table.users, 1, part)) {
+                full.add(table);
+                if (must) {
+                    return false;
                 }
+                continue;
             }
+            wanted.remove(row);
+            double want = want(row);
+            if (want == 0 && !row.replica.withZone && !table.users.isEmpty()) {
+                foresee(row.sent / sum(tables, t -> sum(t.rows.values(), x -> x.sent)));
+            }
+            row.sent = want;
+            table.orderedAt = now;
+            orders.line(table.number, row.replica, want);
+            if (row.replica.stage == Stage.GONE) {
+                table.rows.remove(row.replica);
+            }
+            return true;
         }
-        double part = most >= MUST ? BINDING : most >= SOON ? URGENT : ORDINARY;
-        if (next == null || !fits(audience(table), 1, part)) {
-            return false;
-        }
-        double want = want(next);
-        if (want == 0 && !next.replica.withZone) {
-            foresee(next.sent / sum(tables, t -> sum(t.rows.values(), row -> row.sent)));
-        }
-        next.sent = want;
-        orders.line(table.number, next.replica, next.sent);
-        if (next.replica.stage == Stage.GONE) {
-            table.rows.remove(next.replica);
+        return false;
+    }
+
+    private void rank(Table t, List<Table.Row> into) {
+        double mean = mean(t);
+        boolean empty = empty(t);
+        for (Table.Row row : t.rows.values()) {
+            double want = want(row);
+            boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent / 2);
+            double moved = Math.abs(want - row.sent);
+            row.rank = Math.min(1, moved / mean / MOVED)
+                    + (!soon ? 0 : row.replica.stage != Stage.READY ? MUST : SOON);
+            if (moved > 0 && (soon || empty || moved >= CHANGE * Math.max(want, row.sent))) {
+                into.add(row);
+            }
         }
-        return true;
     }
 
     /**
-     * Puts joined proxies on the tables, once those have lines. A governor that starts anew first looks at
-     * the load, while proxies keep the orders that they hold: else it would let all in amid an overload.
+     * Puts joined proxies on the tables, once those have lines, those first that carry most. A governor that
+     * starts anew first looks at the load, while proxies keep the orders that they hold: else it would let
+     * all in amid an overload.
      */
     private boolean binds(Orders orders) {
-        for (Table t : tables) {
-            for (Proxy p : proxies.values()) {
-                boolean due = (p.tables >> t.number & 1) == 0 && (t.home < 0 || t.home == p.zone);
-                int lines = 1 + t.rows.size() + Integer.bitCount(t.products);
-                if (due && !empty(t) && (p.bare || turns > FIRST_LOOK) && fits(List.of(p), lines, URGENT)) {
-                    if (p.bare && p.tables == 0) {
-                        foresee(p.usual / sum(proxies.values(), x -> x.usual));
-                    }
-                    p.tables |= 1L << t.number;
-                    orders.bind(t.number, p, t.products);
-                    return true;
+        if (unbound == null) {
+            unbound = new ArrayList<>(proxies.values());
+            unbound.removeIf(p -> wide.stream().allMatch(t -> !due(p, t)));
+            unbound.sort(Comparator.comparingDouble(p -> -p.usual));
+        }
+        for (Proxy p : unbound) {
+            for (Table t : wide) {
+                Table to = place(p, t);
+                int lines = 1 + to.rows.size() + to.products.cardinality();
+                if (!due(p, t) || empty(to) || !p.bare && turns <= FIRST_LOOK) {
+                    continue;
+                }
+                if (!fits(List.of(p), lines, URGENT)) {
+                    return false;
+                }
+                if (p.bare && p.on.isEmpty()) {
+                    foresee(p.usual / sum(proxies.values(), x -> x.usual));
+                }
+                Table before = p.on.put(t, to);
+                if (before != null) {
+                    before.users.remove(p);
                 }
+                to.users.add(p);
+                orders.bind(to.number, p, to.products);
+                return true;
             }
         }
+        unbound = List.of();
         return false;
     }
 
+    /** The table of this proxy: the one of all servers, or its part of that. */
+    private Table place(Proxy p, Table t) {
+        return t.parts.isEmpty() ? t : t.parts.get(p.part % t.parts.size());
+    }
+
+    private boolean due(Proxy p, Table t) {
+        return (t.home < 0 || t.home == p.zone) && p.on.get(t) != place(p, t);
+    }
+
     /** Levels, and further tries: only after proof that nothing ran, and none that would feed full queues. */
     private boolean levels(Orders orders) {
         for (Table t : tables) {
             for (Product product : products) {
                 int k = product.index;
-                double letIn = admission == Admission.RATE ? rate(product) : product.level;
+                double letIn = admission != Admission.RATE ? product.level
+                        : product.level < 1 ? product.rate : UNLIMITED;
                 int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
-                boolean due = (t.products >> k & 1) == 1 && (t.letIn[k] < 0 || moves);
-                if (due && fits(audience(t), 1, strained ? URGENT : ORDINARY)) {
+                boolean due = t.products.get(k) && (t.letIn[k] < 0 || moves);
+                if (due && fits(t.users, 1, strained ? URGENT : ORDINARY)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
@@ -400,7 +460,21 @@
     }
 
     private void judge() {
-        roll.stream().filter(r -> !r.out && r.unanswered >= SILENT_AFTER / 2).forEach(this::silent);
+        if (roll.stream().anyMatch(r -> !r.out && r.unanswered >= SILENT_AFTER / 2)) {
+            Map<Integer, int[]> zones = new HashMap<>(); // by zone: replicas, and those that answer no probe
+            for (Replica r : roll) {
+                int[] zone = zones.computeIfAbsent(r.zone, z -> new int[2]);
+                zone[0]++;
+                zone[1] += r.unanswered > 0 ? 1 : 0;
+            }
+            double others = sum(zones.values(), z -> z[1] < MOST * z[0] ? z[0] : 0);
+            double stray = sum(zones.values(), z -> z[1] < MOST * z[0] ? z[1] : 0);
+            for (Replica r : roll) {
+                int[] zone = zones.get(r.zone);
+                silent(r, zone[1] >= MOST * zone[0] && others > 0 && stray <= FEW * others,
+                        stray <= Math.max(1, FEW * others));
+            }
+        }
         for (Table t : tables) {
             if (!t.rows.isEmpty() && sum(t.rows.values(), this::want) == 0) {
                 holdCold = false;
@@ -415,23 +489,14 @@
      * silent and the others are not (a cut or a lost zone), or if hardly any other is (a hang, a crash):
      * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
-    private void silent(Replica r) {
-        double others = sum(roll, x -> mute(x.zone) < MOST ? 1 : 0);
-        double stray = sum(roll, x -> x.unanswered > 0 && mute(x.zone) < MOST ? 1 : 0);
-        boolean together = mute(r.zone) >= MOST && others > 0 && stray <= FEW * others;
-        boolean lone = meanLoad < CALM && stray <= Math.max(1, FEW * others);
-        if (together || r.unanswered >= SILENT_AFTER && (lone || !settles(r))) {
+    private void silent(Replica r, boolean together, boolean few) {
+        boolean alone = r.unanswered >= SILENT_AFTER && (meanLoad < CALM && few || !settles(r));
+        if (!r.out && r.unanswered >= SILENT_AFTER / 2 && (together || alone)) {
             leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
             r.withZone = together;
         }
     }
 
-    /** Share of a zone's replicas that answer no probe. */
-    private double mute(int zone) {
-        double all = sum(roll, x -> x.zone == zone ? 1 : 0);
-        return sum(roll, x -> x.zone == zone && x.unanswered > 0 ? 1 : 0) / all;
-    }
-
     /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
         return now - r.settledAt < 1.5 * reportEvery || turns * TURN < unmet();
@@ -496,6 +561,7 @@
         holdCold = (voidShare > COLD_VOIDED || unmet) && few;
         judge();
         if (busy > 0) {
+            press();
             tables.forEach(this::step);
         }
     }
@@ -526,20 +592,27 @@
 
     /** Products open to fewer replicas load those; a wider table leaves room for them. */
     private double room(Table t, Replica r) {
-        double speeds = sum(roll, x -> x.out ? 0 : x.speed);
-        double all = sum(tables, this::demand);
         double narrow = 0;
-        for (Table other : tables) {
-            if (other != t && other.rows.size() < t.rows.size() && open(other, r)) {
-                double open = sum(other.rows.values(), row -> row.replica.out ? 0 : row.replica.speed);
-                narrow += open > 0 ? demand(other) / open : 0;
+        for (Table other : wide) {
+            if (other != t.wide && other.rows.size() < t.wide.rows.size() && open(other, r)) {
+                narrow += other.pressure;
             }
         }
-        return all > 0 && speeds > 0 ? Math.max(LEAST_LOAD, 1 - narrow * speeds / all) : 1;
+        return Math.max(LEAST_LOAD, 1 - narrow);
+    }
+
+    /** For each table, the demand on the replicas open to it, beside the mean over all. */
+    private void press() {
+        double speeds = sum(roll, r -> r.out ? 0 : r.speed);
+        double all = sum(wide, this::demand);
+        for (Table t : wide) {
+            double open = sum(t.rows.values(), row -> row.replica.out ? 0 : row.replica.speed);
+            t.pressure = open > 0 && all > 0 ? demand(t) / open * speeds / all : 0;
+        }
     }
 
     private double demand(Table t) {
-        return sum(List.of(products), p -> (t.products >> p.index & 1) == 1 ? p.demand * p.level : 0);
+        return sum(List.of(products), p -> t.products.get(p.index) ? p.demand * p.level : 0);
     }
 
     /**
@@ -569,7 +642,7 @@
         r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
         for (Table t : tables) {
             if (open(t, r)) {
-                t.rows.computeIfAbsent(r, Table.Row::new).weight =
+                t.rows.computeIfAbsent(r, x -> new Table.Row(t, x)).weight =
                         firstList ? listedShare(t, r) * coldShare(r) : start(t);
             }
         }
@@ -612,6 +685,7 @@
             double same = sum(List.of(products), x -> x.revenue == p.revenue ? x.demand : 0);
             double level = same <= 0 ? 1 : (admitted * sum - higher) / same;
             p.level = admitted >= 1 ? 1 : Math.max(LEAST_LEVEL, Math.min(1, level));
+            p.rate = rate(p);
         }
     }
 
@@ -624,9 +698,6 @@
 
     /** The rate at each proxy that lets in the product's share: those that get little keep all of it. */
     private double rate(Product product) {
-        if (product.level >= 1) {
-            return UNLIMITED;
-        }
         List<Double> demands = proxies.values().stream().map(p -> p.demand[product.index]).sorted().toList();
         double left = product.level * product.demand;
         for (int i = 0; i < demands.size(); i++) {
@@ -642,8 +713,8 @@
     // ---- shared by the decisions
 
     private boolean open(Table t, Replica r) {
-        return (t.like.kinds >> r.kind & 1) == 1 && (t.like.zones >> r.zone & 1) == 1
-                && (t.home < 0 || t.home == r.zone);
+        return (t.like.kinds.isEmpty() || t.like.kinds.get(r.kind))
+                && (t.like.zones.isEmpty() || t.like.zones.get(r.zone)) && (t.home < 0 || t.home == r.zone);
     }
 
     private boolean out(Replica r) {
@@ -713,10 +784,6 @@
         return Math.max(PROBE_EVERY, Math.min(4 * PROBE_EVERY, pace));
     }
 
-    private List<Proxy> audience(Table t) {
-        return proxies.values().stream().filter(p -> (p.tables >> t.number & 1) == 1).toList();
-    }
-
     private void dueAt(double at, Replica r) {
         due.add(new Due(at, dueCount++, r));
     }
@@ -732,14 +799,16 @@
     // ---- the gate: one model of the lines that wait in the channel and of the messages to each proxy
 
     /** Books lines for these proxies, if they fit into the given part of the limits. */
-    private boolean fits(List<Proxy> to, int lines, double part) {
+    private boolean fits(Collection<Proxy> to, int lines, double part) {
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
         double cost = sum(to, p -> lines + (open(p) ? 0 : head));
-        boolean fits = waiting + cost <= part * queueCap;
-        for (Proxy p : to) {
-            p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
-            fits &= messageCap == 0 || open(p) || p.messages.size() + 1 <= part * messageCap;
+        boolean fits = waiting + cost <= (part < BINDING ? part * LOOSE : part) * queueCap;
+        if (messageCap > 0) {
+            for (Proxy p : to) {
+                p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
+                fits &= open(p) || p.messages.size() + 1 <= part * messageCap;
+            }
         }
         if (fits) {
             waiting += cost;
@@ -752,4 +821,14 @@
     private boolean open(Proxy p) {
         return !p.messages.isEmpty() && p.messages.peekLast() == now;
     }
+
+    /**
+     * Whether the channel has had the time that the heads of another message take, ordinary ones twice that:
+     * with many proxies, lines sent one by one as they come up would fill it with heads, and a removal of
+     * gone servers would find no room. It could harm where one sick server draws most of the traffic.
+     */
+    private boolean spaced(Table t, double part) {
+        double heads = t.users.size() * head / (linesPerMs * TRUSTED);
+        return t.orderedAt == now || now - t.orderedAt >= heads * (part == ORDINARY ? 2 : 1);
+    }
 }
--- a/src/main/java/sprucelanding/Orders.java
+++ b/src/main/java/sprucelanding/Orders.java
@@ -1,5 +1,7 @@
 package sprucelanding;
 
+import java.util.BitSet;
+
 /** What a host can be told to do. Times are ms on the host's clock. */
 public interface Orders {
     int RETRY_NEVER = 0;
@@ -15,8 +17,8 @@
     /** Sets how much of a product a table's proxies let in, and when they try again. */
     void level(int table, Product product, double letIn, int retry);
 
-    /** Puts a joined proxy on a table for the products in the mask; 0 means all. */
-    void bind(int table, Proxy proxy, int products);
+    /** Puts a joined proxy on a table for the products at these positions. */
+    void bind(int table, Proxy proxy, BitSet products);
 
     void probe(Replica replica);
 
--- a/src/main/java/sprucelanding/Proxy.java
+++ b/src/main/java/sprucelanding/Proxy.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 
 /** A proxy whose stream is joined, and what has been sent to it. */
 public final class Proxy {
@@ -12,8 +14,9 @@
     final double joinedAt;
     /** Txns a second that it usually gets, by what it was said to when it joined. */
     final double usual;
-    /** The tables it was put on, as a mask of their numbers. */
-    long tables;
+    /** By the table of all servers, the one that it was put on; and which part it takes of those cut up. */
+    final Map<Table, Table> on = new HashMap<>();
+    int part;
     /** When messages were ordered for it, oldest first. */
     final ArrayDeque<Double> messages = new ArrayDeque<>();
     /** Txns a second by product, smoothed. */
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -1,17 +1,26 @@
 package sprucelanding;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One shared table as it was ordered, and the weights it is coming to. */
 final class Table {
-    /** A line: the weight it has come to and the one last ordered. */
+    /** A line: the weight it has come to, the one last ordered, and how urgent the difference is. */
     static final class Row {
+        final Table table;
         final Replica replica;
         double weight;
         double sent;
+        double rank;
 
-        Row(Replica replica) {
+        Row(Table table, Replica replica) {
+            this.table = table;
             this.replica = replica;
         }
     }
@@ -21,19 +30,30 @@
     final Product like;
     /** The zone of its proxies and replicas, or -1 for all. */
     final int home;
-    /** The products on it, as a mask of their positions. */
-    int products;
+    /** The table of all servers that this one is a part of, or itself; and the parts of that one, if any. */
+    final Table wide;
+    final List<Table> parts = new ArrayList<>();
+    /** The products on it, by their positions. */
+    final BitSet products;
     final Map<Replica, Row> rows = new LinkedHashMap<>();
+    /** The joined proxies that were put on it. */
+    final Set<Proxy> users = new LinkedHashSet<>();
     /** By product, the level and the retry last ordered; a negative level is none. */
     final double[] letIn;
     final int[] retry;
+    /** When a line was last ordered. */
+    double orderedAt = Double.NEGATIVE_INFINITY;
+    /** Demand for each unit of its replicas' speed; 1 is the mean over all. */
+    double pressure;
 
-    Table(int number, Product like, int home, int products) {
+    Table(int number, Product like, int home, Table wide, int products) {
         this.number = number;
         this.like = like;
         this.home = home;
+        this.wide = wide == null ? this : wide;
+        this.products = wide == null ? new BitSet() : wide.products;
         this.letIn = new double[products];
         this.retry = new int[products];
-        java.util.Arrays.fill(letIn, -1);
+        Arrays.fill(letIn, -1);
     }
 }
--- a/src/main/java/sprucelanding/wire/Opening.java
+++ b/src/main/java/sprucelanding/wire/Opening.java
@@ -5,6 +5,7 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
+import java.util.BitSet;
 import java.util.SplittableRandom;
 import sprucelanding.Choice;
 import sprucelanding.Product;
@@ -78,28 +79,26 @@
                     && home.asArray().get(i).asBoolean();
             products[i] = new Product(i, each.getString("effect", "side_effect").equals("pure"),
                     each.getDouble("worth", 1), ms(each, "promiseUs", 1_000_000),
-                    mask(each.get("onlyKinds"), "kinds"), mask(each.get("onlyZones"), "zones"), homeOnly);
+                    set(each.get("onlyKinds"), "kinds"), set(each.get("onlyZones"), "zones"), homeOnly);
         }
         return products;
     }
 
-    /** A list of indices or names as a bit mask; all where there is none. */
-    private long mask(JsonValue only, String names) {
-        if (only == null || !only.isArray() || only.asArray().isEmpty()) {
-            return -1;
-        }
-        long mask = 0;
+    /** A list of indices or names as a set of indices; an empty one means all. */
+    private BitSet set(JsonValue only, String names) {
+        BitSet set = new BitSet();
         JsonValue known = root.get(names);
-        for (JsonValue each : only.asArray()) {
+        for (JsonValue each : only != null && only.isArray() ? only.asArray() : new JsonArray()) {
             if (each.isNumber()) {
-                mask |= 1L << each.asInt();
-            } else if (known != null && known.isArray()) {
-                for (int i = 0; i < known.asArray().size(); i++) {
-                    mask |= known.asArray().get(i).equals(each) ? 1L << i : 0;
+                set.set(each.asInt());
+            }
+            for (int i = 0; known != null && known.isArray() && i < known.asArray().size(); i++) {
+                if (known.asArray().get(i).equals(each)) {
+                    set.set(i);
                 }
             }
         }
-        return mask;
+        return set;
     }
 
     private int zones() {
--- a/src/main/java/sprucelanding/wire/Pen.java
+++ b/src/main/java/sprucelanding/wire/Pen.java
@@ -1,6 +1,8 @@
 package sprucelanding.wire;
 
+import java.math.BigInteger;
 import java.util.Base64;
+import java.util.BitSet;
 import sprucelanding.Orders;
 import sprucelanding.Product;
 import sprucelanding.Proxy;
@@ -36,15 +38,19 @@
 
     @Override
     public void level(int table, Product product, double letIn, int retry) {
-        open("VALVE").append('\t').append(table).append('\t').append(1L << product.index).append('\t');
+        open("VALVE").append('\t').append(table).append('\t').append(BigInteger.ONE.shiftLeft(product.index)).append('\t');
         number(letIn);
         reply.append('\t').append(retry).append('\n');
     }
 
     @Override
-    public void bind(int table, Proxy proxy, int products) {
+    public void bind(int table, Proxy proxy, BitSet products) {
+        BigInteger mask = BigInteger.ZERO;
+        for (int k = products.nextSetBit(0); k >= 0; k = products.nextSetBit(k + 1)) {
+            mask = mask.setBit(k);
+        }
         open("SUBSCRIBE_TO").append('\t').append(table).append('\t').append(proxy.id).append('\t')
-                .append(products).append('\n');
+                .append(mask).append('\n');
     }
 
     @Override
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.BitSet;
 import org.junit.jupiter.api.Test;
 
 /** Stories of what the module met, told to a host without a bench. */
@@ -234,7 +235,7 @@
     @Test
     void aProductOpenToFewHasItsTableAndTheOthersLeaveRoom() {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1),
-                new Product(1, false, 3, 600, 1L << 1, -1, false));
+                new Product(1, false, 3, 600, BitSet.valueOf(new long[] {2}), new BitSet(), false));
         host.choice.roll(true);
         host.choice.listOpens(true, true);
         for (long id = 1; id <= 6; id++) {
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -1,6 +1,7 @@
 package sprucelanding;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +37,7 @@
     }
 
     static Product product(int index, boolean inquiryLike, double revenue) {
-        return new Product(index, inquiryLike, revenue, 800, -1, -1, false);
+        return new Product(index, inquiryLike, revenue, 800, new BitSet(), new BitSet(), false);
     }
 
     /** A usual site: replicas 1 to n, dealt to three zones, and one proxy with 100 txns a second. */
@@ -130,10 +131,10 @@
     }
 
     @Override
-    public void bind(int table, Proxy proxy, int products) {
+    public void bind(int table, Proxy proxy, BitSet products) {
         orders.add("bind");
         written = true;
-        bound.merge(proxy.id, products, (a, b) -> a | b);
+        bound.merge(proxy.id, (int) products.toLongArray()[0], (a, b) -> a | b);
     }
 
     @Override
