--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -25,7 +25,8 @@
  * the largest changes, within what the channel drains. Times are ms.
  */
 public final class Choice {
-    public enum Stage { READY, DRAINING, GONE }
+    /** Missing: dropped from the list without a word of draining, where that alone does not bind. */
+    public enum Stage { READY, MISSING, DRAINING, GONE }
 
     public enum Answer { OK, BUSY, ERROR, SILENT, UNREACHABLE, NONE }
 
@@ -83,7 +84,7 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
-    private boolean asked, probes;
+    private boolean asked, probes, softRemoval;
     private double coldFrom, warmAfter, reportEvery;
     private Admission admission = Admission.NONE;
     private double linesPerMs, head, queueCap, messageSpan;
@@ -128,8 +129,9 @@
         tables.addAll(wide);
     }
 
-    public void roll(boolean pushed) {
+    public void roll(boolean pushed, boolean soft) {
         asked = !pushed;
+        softRemoval = soft;
         if (asked) {
             dueAt(Double.NEGATIVE_INFINITY, null);
         }
@@ -180,18 +182,24 @@
 
     public void listed(long id, int zone, int kind, double weight, double startedAt, Stage stage) {
         Replica r = replicas.computeIfAbsent(id, Replica::new);
-        r.entered |= stage == Stage.READY && (r.stage != Stage.READY || startedAt > r.startedAt);
+        r.entered |= stage == Stage.READY && (r.stage.compareTo(Stage.MISSING) > 0 || startedAt > r.startedAt);
         r.zone = zone;
         r.kind = kind;
         r.listedWeight = weight > 0 ? weight : 1;
         r.startedAt = startedAt;
-        r.stage = stage;
+        stage(r, stage);
         named.add(r);
     }
 
+    /** Where a drop alone does not bind, a replica that answers keeps its line: the list may be wrong. */
+    private void stage(Replica r, Stage told) {
+        boolean serves = softRemoval && r.stage.compareTo(Stage.MISSING) <= 0 && r.unanswered == 0 && !r.out;
+        r.stage = told == Stage.GONE && serves ? Stage.MISSING : told;
+    }
+
     public void listCloses() {
         if (wholeList) {
-            replicas.values().stream().filter(r -> !named.contains(r)).forEach(r -> r.stage = Stage.GONE);
+            replicas.values().stream().filter(r -> !named.contains(r)).forEach(r -> stage(r, Stage.GONE));
         }
     }
 
@@ -220,6 +228,7 @@
             }
         }
         r.probing = false;
+        r.stage = r.stage == Stage.MISSING && r.unanswered > 0 ? Stage.GONE : r.stage;
     }
 
     public void met(long id, int tries, int voided, double answerTime, double load) {
@@ -361,7 +370,7 @@
             boolean soon = row.sent > 0 && (want == 0 || young(row.replica) && want < row.sent / 2);
             double moved = Math.abs(want - row.sent);
             row.rank = Math.min(1, moved / mean / MOVED)
-                    + (!soon ? 0 : row.replica.stage != Stage.READY ? MUST : SOON);
+                    + (!soon ? 0 : !listed(row.replica) ? MUST : SOON);
             if (moved > 0 && (soon || empty || moved >= CHANGE * Math.max(want, row.sent))) {
                 into.add(row);
             }
@@ -440,18 +449,20 @@
 
     /** Makes the tables follow the list; one that starts anew comes in through the slow start. */
     private void follow() {
-        roll = replicas.values().stream().filter(r -> r.stage == Stage.READY).toList();
+        roll = replicas.values().stream().filter(this::listed).toList();
         for (Replica r : roll) {
             if (r.entered) {
                 r.deafUntil = firstList ? 0 : now + 2 * reportEvery;
                 r.unanswered = 0;
-                r.out = false;
+                r.answered = 1;
+                r.out = probes && !firstList; // a stranger on a wrong list would err: one answer lets it in
+                r.outUntil = Double.NEGATIVE_INFINITY;
                 r.heardAt = r.settledAt = Double.NEGATIVE_INFINITY;
                 comeIn(r);
             }
             if (probes && !r.probing) {
                 r.probing = true;
-                dueAt(now + (r.entered ? chance.nextDouble() * PROBE_EVERY
+                dueAt(now + (r.entered ? chance.nextDouble() * PROBE_EVERY / (firstList ? 1 : 4)
                         : r.unanswered > 0 && !r.out ? PROBE_EVERY / 4 : probePace()), r);
             }
             r.entered = false;
@@ -717,8 +728,12 @@
                 && (t.like.zones.isEmpty() || t.like.zones.get(r.zone)) && (t.home < 0 || t.home == r.zone);
     }
 
+    private boolean listed(Replica r) {
+        return r.stage.compareTo(Stage.MISSING) <= 0;
+    }
+
     private boolean out(Replica r) {
-        return r.stage != Stage.READY || r.out || holdCold && tender(r);
+        return !listed(r) || r.out || holdCold && tender(r);
     }
 
     private double want(Table.Row row) {
@@ -732,7 +747,7 @@
     /** Whether enough others stay in each of its tables: the rest must not tip over for want of one. */
     private boolean mayLeave(Replica r, double share) {
         return tables.stream().filter(t -> t.rows.containsKey(r)).allMatch(t -> {
-            double listed = sum(t.rows.values(), row -> row.replica.stage == Stage.READY ? 1 : 0);
+            double listed = sum(t.rows.values(), row -> listed(row.replica) ? 1 : 0);
             double stay = sum(t.rows.values(), row -> row.replica != r && want(row) > 0 ? 1 : 0);
             return stay >= Math.max(1, listed * share);
         });
--- a/src/main/java/sprucelanding/wire/Opening.java
+++ b/src/main/java/sprucelanding/wire/Opening.java
@@ -51,7 +51,8 @@
         JsonObject contract = part("contract");
         JsonObject limits = part("ceilings");
         Choice choice = new Choice(new SplittableRandom(seed), products(info), zones());
-        choice.roll(root.getString("membershipMode", "pushed").equals("pushed"));
+        choice.roll(root.getString("membershipMode", "pushed").equals("pushed"),
+                contract.getBoolean("softRemoval", false));
         choice.channel(info.getDouble("egressPerS", 1000) / 1000, info.getDouble("head", 0),
                 info.getDouble("queueCap", 1000), info.getInt("updateCap", 0),
                 ms(info, "reloadSpanUs", 10_000_000));
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -177,7 +177,7 @@
     @Test
     void aRateSparesProxiesWithLittle() {
         FakeHost host = new FakeHost(Choice.Admission.RATE, 0, FakeHost.product(0, true, 1));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.list(true, 4);
         host.choice.joined(1, 0, 90, true);
         host.choice.joined(2, 0, 10, true);
@@ -202,7 +202,7 @@
 
     private static FakeHost capped() {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 12, FakeHost.product(0, true, 1));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.list(true, 9);
         host.choice.joined(9, 0, 100, true);
         host.settle();
@@ -215,6 +215,7 @@
             host.now += 250;
             host.choice.clock(host.now);
             host.change(9, 0, i % 2 == 0 ? Choice.Stage.DRAINING : Choice.Stage.READY);
+            host.choice.probed(9, Choice.Answer.OK, Double.NaN);
             host.choice.bell(1);
             host.settle();
         }
@@ -223,7 +224,7 @@
     @Test
     void aListThatMustBeAskedIsAskedAgainAfterAFailure() {
         FakeHost host = new FakeHost(Choice.Admission.NONE, 0, FakeHost.product(0, true, 1));
-        host.choice.roll(false);
+        host.choice.roll(false, false);
         host.list(true, 3);
         host.settle();
         assertEquals(1, host.watches);
@@ -236,7 +237,7 @@
     void aProductOpenToFewHasItsTableAndTheOthersLeaveRoom() {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1),
                 new Product(1, false, 3, 600, BitSet.valueOf(new long[] {2}), new BitSet(), false));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.choice.listOpens(true, true);
         for (long id = 1; id <= 6; id++) {
             host.choice.listed(id, 0, id <= 3 ? 1 : 0, 1, 0, Choice.Stage.READY);
@@ -253,7 +254,7 @@
     @Test
     void aGovernorThatStartsAnewEasesInWhatJustStarted() {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.choice.listOpens(true, true);
         host.choice.listed(1, 0, 0, 1, host.now - 10_000, Choice.Stage.READY);
         host.choice.listed(2, 0, 0, 1, 0, Choice.Stage.READY);
@@ -266,7 +267,7 @@
     @Test
     void aGovernorThatStartsAnewLooksBeforeItTakesOverTheProxies() {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.list(true, 4);
         host.choice.joined(5, 0, 100, false);
         host.choice.joined(6, 0, 100, true);
@@ -373,4 +374,43 @@
         host.run(3, () -> well(host, 9, 1, 10));
         assertTrue(host.levels.get(0) < 0.9);
     }
+
+    /** A site where a drop from the list does not bind, after its list lost replicas 1 to 3 of 6. */
+    private static FakeHost shrunk(long silent, long draining) {
+        FakeHost host = FakeHost.usual(6);
+        host.choice.roll(true, true);
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        if (silent > 0) {
+            host.ill.put(silent, Choice.Answer.UNREACHABLE);
+        }
+        if (draining > 0) {
+            host.change(draining, 0, Choice.Stage.DRAINING);
+        }
+        host.choice.listOpens(true, false);
+        for (long id = 4; id <= 6; id++) {
+            host.choice.listed(id, (int) (id % 3), 0, 1, 0, Choice.Stage.READY);
+        }
+        host.choice.listCloses();
+        host.run(4, () -> well(host, 6, 0.5, 10));
+        return host;
+    }
+
+    @Test
+    void aServerThatAWrongListDropsKeepsItsLineWhileItAnswers() {
+        FakeHost host = shrunk(2, 3);
+        assertTrue(host.weight(1) > host.weight(4) / 2);
+        assertEquals(0, host.weight(2), "it answers no more");
+        assertEquals(0, host.weight(3), "it drained");
+    }
+
+    @Test
+    void aStrangerOnTheListGetsNoLineBeforeItAnswers() {
+        FakeHost host = FakeHost.usual(6);
+        host.ill.put(7L, Choice.Answer.ERROR);
+        host.change(7, 0, Choice.Stage.READY);
+        host.change(8, 0, Choice.Stage.READY);
+        host.run(4, () -> well(host, 6, 0.5, 10));
+        assertEquals(0, host.weight(7));
+        assertTrue(host.weight(8) > 0);
+    }
 }
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -43,7 +43,7 @@
     /** A usual site: replicas 1 to n, dealt to three zones, and one proxy with 100 txns a second. */
     static FakeHost usual(int n) {
         FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, product(0, true, 1), product(1, false, 2));
-        host.choice.roll(true);
+        host.choice.roll(true, false);
         host.list(true, n);
         host.choice.joined(9, 0, 100, true);
         host.settle();
