--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -299,8 +299,7 @@
             orders.log(notes.poll());
             return true;
         }
-        if (dues(orders) || lines(orders, MUST) || strained && levels(orders)
-                || lines(orders, 0) || binds(orders) || levels(orders)) {
+        if (dues(orders) || lines(orders) || binds(orders) || levels(orders)) {
             return true;
         }
         ordinary = false;
@@ -326,7 +325,7 @@
     }
 
     /** The next line to order: removals first, then cuts that can't wait, then what moves most traffic. */
-    private boolean lines(Orders orders, double least) {
+    private boolean lines(Orders orders) {
         if (wanted == null) {
             wanted = new ArrayList<>();
             tables.forEach(t -> rank(t, wanted));
@@ -336,9 +335,6 @@
         for (Table.Row row : wanted) {
             Table table = row.table;
             boolean must = row.rank >= MUST;
-            if (row.rank < least) {
-                return false;
-            }
             if (row.rank < SOON && !ordinary && !empty(table) || full.contains(table)) {
                 continue;
             }
