--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -62,8 +62,9 @@
     private static final double FORESEEN = 0.95; // foreseen use from which levels fall at once
     private static final double USUAL_ANSWER = 0.5; // of the SLA time, from which answers count as slow
     private static final double UNLIMITED = 1_000_000;
-    /** Parts of the channel's limits: for the ordinary, for what health asks, and for what the rules ask. */
-    private static final double ORDINARY = 0.5, URGENT = 0.75, BINDING = 1;
+    /** Parts of the channel's limits: for the ordinary, for what health asks, for levels, for what rules ask. */
+    private static final double ORDINARY = 0.5, URGENT = 0.75, VITAL = 0.8, BINDING = 1;
+    private static final int SERIALS = 60_000; // numbers of receipts, used in turn
     private static final double LOOSE = 0.67; // of that, in lines: removals of gone servers come in crowds
     /** Ranks of lines: what the rules ask, what can't wait; the rest by traffic moved, up to 1 at MOVED means. */
     private static final double MUST = 4, SOON = 2, MOVED = 8;
@@ -89,8 +90,11 @@
     private Admission admission = Admission.NONE;
     private double linesPerMs, head, queueCap, messageSpan;
     private int messageCap;
-    /** Lines that wait in the channel, as of when. */
-    private double waiting, waitingAt;
+    /** Lines that wait in the channel, as of when; all booked so far, and before each receipt asked for. */
+    private double waiting, waitingAt, booked, bookedBefore;
+    private final Map<Integer, Double> receipts = new HashMap<>();
+    private int serial;
+    private double writtenAt = Double.NEGATIVE_INFINITY;
 
     private double now;
     private long dueCount, turns;
@@ -255,6 +259,14 @@
         }
     }
 
+    /** Messages leave in order: all that was booked before this one has left. */
+    public void inForce(int serial) {
+        Double before = receipts.get(serial);
+        if (before != null) {
+            waiting = Math.min(waiting, booked - before);
+        }
+    }
+
     public void came(int proxy, int product, int count, double span) {
         Proxy p = proxies.get(proxy);
         if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
@@ -299,10 +311,17 @@
             orders.log(notes.poll());
             return true;
         }
-        if (dues(orders) || lines(orders) || binds(orders) || levels(orders)) {
+        if (dues(orders) || strained && levels(orders) || lines(orders) || binds(orders) || levels(orders)) {
             return true;
         }
         ordinary = false;
+        if (writtenAt == now) { // what comes in force tells how much of the channel has drained
+            writtenAt = Double.NEGATIVE_INFINITY;
+            serial = (serial + 1) % SERIALS;
+            receipts.put(serial, bookedBefore);
+            orders.receipt(serial);
+            return true;
+        }
         if (!due.isEmpty() && due.first().at() < dueBell) {
             dueBell = due.first().at();
             orders.timer(DUE_BELL, dueBell);
@@ -432,9 +451,9 @@
                         : product.level < 1 ? product.rate : UNLIMITED;
                 int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
-                boolean moves = ordinary && (change >= CHANGE / 2 || retry != t.retry[k]);
+                boolean moves = (ordinary || strained) && (change >= CHANGE / 2 || retry != t.retry[k]);
                 boolean due = t.products.get(k) && (t.letIn[k] < 0 || moves);
-                if (due && fits(t.users, 1, strained ? URGENT : ORDINARY)) {
+                if (due && fits(t.users, 1, strained ? VITAL : ORDINARY)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, product, letIn, retry);
@@ -818,15 +837,21 @@
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
         double cost = sum(to, p -> lines + (open(p) ? 0 : head));
-        boolean fits = waiting + cost <= (part < BINDING ? part * LOOSE : part) * queueCap;
+        boolean fits = waiting + cost <= (part <= URGENT ? part * LOOSE : part) * queueCap;
         if (messageCap > 0) {
             for (Proxy p : to) {
                 p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
                 fits &= open(p) || p.messages.size() + 1 <= part * messageCap;
             }
         }
-        if (fits) {
+        if (fits && !to.isEmpty()) {
+            if (writtenAt != now) {
+                writtenAt = now;
+                bookedBefore = booked;
+                cost += proxies.size();
+            }
             waiting += cost;
+            booked += cost;
             to.stream().filter(p -> !open(p)).forEach(p -> p.messages.addLast(now));
         }
         return fits;
--- a/src/main/java/sprucelanding/Orders.java
+++ b/src/main/java/sprucelanding/Orders.java
@@ -20,6 +20,9 @@
     /** Puts a joined proxy on a table for the products at these positions. */
     void bind(int table, Proxy proxy, BitSet products);
 
+    /** Each proxy that gets a message of this moment says, by the number, when it is in force. */
+    void receipt(int serial);
+
     void probe(Replica replica);
 
     /** Sends at most 256 bytes to every peer; they may be lost. */
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -177,8 +177,9 @@
             case "CHECKED_IN" ->
                 choice.joined(line.needs(5).small(3), line.small(4), line.number(2, 0), line.flag(5));
             case "STREAM_DOWN" -> choice.left(line.needs(2).small(2));
-            case "HEARD", "IN_FORCE", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
-                // peers' notes and receipts, which nothing asks for, and the slices of other sites
+            case "IN_FORCE" -> choice.inForce(line.needs(4).small(3));
+            case "HEARD", "WEIGHT_SEEN", "CHARGE", "RECORDED" -> {
+                // peers' notes, which nothing asks for, and the slices of other sites
             }
             default -> throw new Malformed("unknown event " + line.name());
         }
--- a/src/main/java/sprucelanding/wire/Pen.java
+++ b/src/main/java/sprucelanding/wire/Pen.java
@@ -53,6 +53,11 @@
                 .append(mask).append('\n');
     }
 
+    @Override
+    public void receipt(int serial) {
+        open("ASK_RECEIPT").append("\t0\t").append(serial).append('\n');
+    }
+
     @Override
     public void probe(Replica replica) {
         open("CHECK").append('\t').append(replica.id).append('\n');
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -413,4 +413,40 @@
         assertEquals(0, host.weight(7));
         assertTrue(host.weight(8) > 0);
     }
+
+    @Test
+    void removalsFindRoomThoughHealthFillsTheChannel() {
+        FakeHost host = FakeHost.large(false, 40, 150);
+        host.run(20, () -> well(host, 40, 0.5, 10));
+        for (long id = 20; id < 30; id++) {
+            host.ill.put(id, Choice.Answer.UNREACHABLE);
+            host.run(1, () -> well(host, 40, 0.5, 10));
+        }
+        host.choice.listOpens(false, false);
+        for (long id = 1; id <= 6; id++) {
+            host.choice.listed(id, 0, 0, 1, 0, Choice.Stage.GONE);
+        }
+        host.choice.listCloses();
+        host.settle();
+        for (long id = 1; id <= 6; id++) {
+            assertEquals(0, host.weight(id), "replica " + id);
+        }
+    }
+
+    @Test
+    void levelsGetThroughWhileProxiesAreStillBeingBound() {
+        FakeHost host = FakeHost.large(false, 120, 100);
+        host.run(5, () -> well(host, 120, 1, 10));
+        assertTrue(host.bound.size() < 100);
+        assertTrue(host.levels.get(0) < 0.9);
+    }
+
+    @Test
+    void receiptsOpenTheChannelSooner() {
+        FakeHost slow = FakeHost.large(false, 120, 100);
+        FakeHost quick = FakeHost.large(true, 120, 100);
+        slow.run(4, () -> { });
+        quick.run(4, () -> { });
+        assertTrue(quick.bound.size() > 1.5 * slow.bound.size(), quick.bound.size() + ", " + slow.bound.size());
+    }
 }
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -21,6 +21,8 @@
     final TreeMap<Double, List<Integer>> bells = new TreeMap<>();
     /** Replicas whose probes get this answer; all others answer well. */
     final Map<Long, Choice.Answer> ill = new LinkedHashMap<>();
+    /** Whether receipts come: those of the message before, each time. */
+    boolean drains;
     int watches;
     int messages;
     private boolean written;
@@ -50,6 +52,19 @@
         return host;
     }
 
+    /** A large one: many replicas, and many proxies that have just joined. */
+    static FakeHost large(boolean drains, int replicas, int proxies) {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, product(0, true, 1), product(1, false, 2));
+        host.drains = drains;
+        host.choice.roll(true, false);
+        host.list(true, replicas);
+        for (int id = 0; id < proxies; id++) {
+            host.choice.joined(id, 0, 10, true);
+        }
+        host.settle();
+        return host;
+    }
+
     void list(boolean first, int n) {
         choice.listOpens(true, first);
         for (int id = 1; id <= n; id++) {
@@ -137,6 +152,13 @@
         bound.merge(proxy.id, (int) products.toLongArray()[0], (a, b) -> a | b);
     }
 
+    @Override
+    public void receipt(int serial) {
+        if (drains) {
+            choice.inForce(serial - 1);
+        }
+    }
+
     @Override
     public void probe(Replica replica) {
         probed.add(replica.id);
