--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -520,9 +520,10 @@
      * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
     private void silent(Replica r, boolean together, boolean few) {
-        boolean alone = r.unanswered >= SILENT_AFTER && (meanLoad < CALM && few || !settles(r));
+        boolean fails = !settles(r) && r.voided >= 2;
+        boolean alone = r.unanswered >= SILENT_AFTER && (meanLoad < CALM && few || fails);
         if (!r.out && r.unanswered >= SILENT_AFTER / 2 && (together || alone)) {
-            leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
+            leaves(r, 0, together ? STAY_SILENT : STAY_SICK, "no answer to probes" + (together ? ", nor from its zone" : ""));
             r.withZone = together;
         }
     }
