--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -75,6 +76,12 @@
     private static final double COLD_VOIDED = 0.15; // share voided past which cold replicas wait
     private static final double PROBE_SHARE = 0.25; // probes for each txn, at most
 
+    /** Share voided at most servers that tells of too few connections; servers in a part at least, */
+    private static final double ALL_VOIDED = 0.3;
+    private static final int PART = 3, SHARING = 2; // and proxies with little traffic that share one
+    private static final double SPARE = 1.5; // servers for a part, beside what its traffic asks for
+    private static final double LONGEST_QUIET = 40_000; // before parts grow; an eighth of it at first
+
     private final SplittableRandom chance;
     private final Product[] products;
     /** The tables of all servers; and all that are laid, with the parts that those are cut into. */
@@ -111,6 +118,9 @@
     private double admitted = 1;
     private final ArrayDeque<Double> past = new ArrayDeque<>();
     private double meanLoad, voidShare;
+    /** Servers in each part of a table, 0 while tables are whole; since when; how long until parts may grow. */
+    private int each;
+    private double dealtAt = Double.NEGATIVE_INFINITY, quiet = LONGEST_QUIET / 8;
 
     // ---- what the site states
 
@@ -284,6 +294,7 @@
     public void left(int id) {
         Proxy gone = proxies.remove(id);
         tables.forEach(t -> t.users.remove(gone));
+        tables.forEach(t -> t.held.remove(gone));
         unbound = null;
     }
 
@@ -311,7 +322,7 @@
             orders.log(notes.poll());
             return true;
         }
-        if (dues(orders) || strained && levels(orders) || lines(orders) || binds(orders) || levels(orders)) {
+        if (dues(orders) || clears(orders) || strained && levels(orders) || lines(orders) || binds(orders) || levels(orders)) {
             return true;
         }
         ordinary = false;
@@ -354,7 +365,8 @@
         for (Table.Row row : wanted) {
             Table table = row.table;
             boolean must = row.rank >= MUST;
-            if (row.rank < SOON && !ordinary && !empty(table) || full.contains(table)) {
+            boolean ordered = row.rank >= SOON || ordinary || table.users.isEmpty() || empty(table);
+            if (!ordered || full.contains(table)) {
                 continue;
             }
             double part = must ? BINDING : row.rank >= SOON ? URGENT : ORDINARY;
@@ -390,7 +402,7 @@
             double moved = Math.abs(want - row.sent);
             row.rank = Math.min(1, moved / mean / MOVED)
                     + (!soon ? 0 : !listed(row.replica) ? MUST : SOON);
-            if (moved > 0 && (soon || empty || moved >= CHANGE * Math.max(want, row.sent))) {
+            if (moved > 0 && t.number >= 0 && (soon || empty || moved >= CHANGE * Math.max(want, row.sent))) {
                 into.add(row);
             }
         }
@@ -425,6 +437,7 @@
                     before.users.remove(p);
                 }
                 to.users.add(p);
+                to.held.add(p);
                 orders.bind(to.number, p, to.products);
                 return true;
             }
@@ -452,7 +465,7 @@
                 int retry = strained || !met || meanLoad > BUSY ? Orders.RETRY_NEVER : Orders.RETRY_UNRUN;
                 double change = Math.abs(letIn - t.letIn[k]) / Math.max(letIn, t.letIn[k]);
                 boolean moves = (ordinary || strained) && (change >= CHANGE / 2 || retry != t.retry[k]);
-                boolean due = t.products.get(k) && (t.letIn[k] < 0 || moves);
+                boolean due = t.number >= 0 && t.products.get(k) && (t.letIn[k] < 0 || moves);
                 if (due && fits(t.users, 1, strained ? VITAL : ORDINARY)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
@@ -505,13 +518,16 @@
                         stray <= Math.max(1, FEW * others));
             }
         }
-        for (Table t : tables) {
+        for (Table t : wide) {
             if (!t.rows.isEmpty() && sum(t.rows.values(), this::want) == 0) {
                 holdCold = false;
                 t.rows.keySet().forEach(r -> r.out = false);
                 note("back to the list: no line is left in table " + t.number);
             }
         }
+        if (wide.stream().flatMap(t -> t.parts.stream()).anyMatch(p -> sum(p.rows.values(), this::want) == 0)) {
+            deal();
+        }
     }
 
     /**
@@ -520,10 +536,9 @@
      * silence here and there means that probes stand in full queues, and counts as a report of full load.
      */
     private void silent(Replica r, boolean together, boolean few) {
-        boolean fails = !settles(r) && r.voided >= 2;
-        boolean alone = r.unanswered >= SILENT_AFTER && (meanLoad < CALM && few || fails);
+        boolean alone = r.unanswered >= SILENT_AFTER && (meanLoad < CALM && few || !settles(r));
         if (!r.out && r.unanswered >= SILENT_AFTER / 2 && (together || alone)) {
-            leaves(r, 0, together ? STAY_SILENT : STAY_SICK, "no answer to probes" + (together ? ", nor from its zone" : ""));
+            leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
             r.withZone = together;
         }
     }
@@ -591,6 +606,7 @@
         boolean few = roll.stream().filter(this::tender).count() <= STAY_SICK * roll.size();
         holdCold = (voidShare > COLD_VOIDED || unmet) && few;
         judge();
+        cut(load);
         if (busy > 0) {
             press();
             tables.forEach(this::step);
@@ -655,7 +671,7 @@
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
-        if (!r.out && r.voided >= 2 && share > sick) {
+        if (!r.out && each == 0 && r.voided >= 2 && share > sick) {
             r.sentence = now - r.outUntil < LONGEST_SENTENCE
                     ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
             leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
@@ -671,12 +687,124 @@
     /** Through the slow start, with nothing known of it; on the first list, at once for what runs long. */
     private void comeIn(Replica r) {
         r.busyTime = r.settled = r.tries = r.voided = r.waited = r.steadyLoad = r.load = 0;
-        for (Table t : tables) {
+        for (Table t : wide) {
             if (open(t, r)) {
-                t.rows.computeIfAbsent(r, x -> new Table.Row(t, x)).weight =
-                        firstList ? listedShare(t, r) * coldShare(r) : start(t);
+                double weight = firstList ? listedShare(t, r) * coldShare(r) : start(t);
+                t.rows.computeIfAbsent(r, x -> new Table.Row(t, x)).weight = weight;
+                t.parts.stream().filter(p -> p.rows.containsKey(r)).forEach(p -> p.rows.get(r).weight = weight);
+            }
+        }
+    }
+
+    // ---- connections run short: shared tables of few servers
+
+    /**
+     * Tries that fail at nearly all servers, though these answer probes and have load to spare, mean that
+     * each accepts too few connections for all proxies to hold one. So proxies share tables of a few servers
+     * while it lasts, and of twice as many each time it has been quiet for a while. It should also answer
+     * anything else that grows with the connections a proxy holds; it could harm where tries fail all over
+     * for another reason: each proxy then depends on few servers.
+     */
+    private void cut(double load) {
+        double[] shares = roll.stream().filter(r -> r.unanswered == 0 && r.tries >= 1)
+                .mapToDouble(r -> r.voided / (r.tries + 1)).sorted().toArray();
+        boolean few = !strained && Math.max(load, meanLoad) < SATURATED && shares.length > 0 && shares[shares.length / 2] > ALL_VOIDED;
+        boolean again = now - dealtAt > unmet();
+        if (few && again && each != PART) {
+            each = PART;
+            quiet = Math.min(LONGEST_QUIET, quiet * 2);
+            note("tables of " + each + " servers: voided " + percent(shares[shares.length / 2]) + " or more, load "
+                    + percent(meanLoad));
+            deal();
+        } else if (each > 0 && !few && now - dealtAt > quiet) {
+            each = 4 * each > roll.size() ? 0 : 2 * each;
+            note(each == 0 ? "tables whole again" : "tables of " + each + " servers");
+            deal();
+        } else if (again && wide.stream().flatMap(t -> t.parts.stream())
+                .anyMatch(p -> sum(p.rows.values(), row -> want(row) > 0 ? 1 : 0) <= each / 2)) {
+            deal();
+        }
+    }
+
+    /**
+     * Deals the proxies out, those that carry most alone and the others by threes, and for each group cuts a
+     * part out of each table, with as many servers as its traffic asks for, but no fewer than each: those
+     * that so far have the least connections and traffic.
+     */
+    private void deal() {
+        dealtAt = now;
+        wanted = null;
+        unbound = null;
+        for (Table t : wide) {
+            t.parts.clear();
+            t.number = t.number < 0 && each == 0 ? freeNumber() : t.number;
+        }
+        List<Proxy> all = new ArrayList<>(each == 0 ? List.of() : proxies.values());
+        all.sort(Comparator.comparingDouble(p -> -demand(p)));
+        double demand = Math.max(1, sum(all, this::demand));
+        roll.forEach(r -> r.dealt = chance.nextDouble() / 4);
+        for (int i = 0, group = 0; i < all.size(); group++) {
+            double share = 0;
+            int n = 0;
+            for (; i < all.size() && n < SHARING && share * roll.size() < each; n++) {
+                share += demand(all.get(i)) / demand;
+                all.get(i++).part = group;
             }
+            for (Table t : wide) {
+                t.parts.add(part(t, share, n));
+            }
+        }
+    }
+
+    /** A part of a table, with this share of its weight, for so many proxies. */
+    private Table part(Table t, double share, int proxies) {
+        Table part = new Table(freeNumber(), t.like, t.home, t, products.length);
+        tables.add(part);
+        List<Table.Row> rows = new ArrayList<>(t.rows.values().stream().filter(row -> want(row) > 0).toList());
+        double weight = SPARE * share * sum(rows, row -> row.weight);
+        rows.sort(Comparator.comparingDouble(row -> row.replica.dealt));
+        for (int i = 0; i < rows.size() && (i < each || weight > 0); i++) {
+            Table.Row row = new Table.Row(part, rows.get(i).replica);
+            row.weight = rows.get(i).weight;
+            row.replica.dealt += proxies;
+            part.rows.put(row.replica, row);
+            weight -= row.weight;
+        }
+        return part;
+    }
+
+    private double demand(Proxy p) {
+        return Arrays.stream(p.demand).sum();
+    }
+
+    private int freeNumber() {
+        Set<Integer> used = new HashSet<>();
+        tables.forEach(t -> used.add(t.number));
+        int number = 0;
+        while (used.contains(number)) {
+            number++;
         }
+        return number;
+    }
+
+    /** Clears a table that no proxy goes by any more: those that were on it hold connections for its lines. */
+    private boolean clears(Orders orders) {
+        for (Table t : tables) {
+            boolean idle = t.users.isEmpty() && (t.wide == t ? !t.parts.isEmpty() : !t.wide.parts.contains(t));
+            if (idle && !t.rows.isEmpty() && t.number >= 0 && fits(t.held, 1, URGENT)) {
+                orders.clear(t.number);
+                wanted = null;
+                t.held.clear();
+                t.rows.values().forEach(row -> row.sent = 0);
+                t.number = -1;
+                Arrays.fill(t.letIn, -1);
+                if (t.wide != t) {
+                    tables.remove(t);
+                }
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -835,6 +963,9 @@
 
     /** Books lines for these proxies, if they fit into the given part of the limits. */
     private boolean fits(Collection<Proxy> to, int lines, double part) {
+        if (to.isEmpty()) {
+            return true;
+        }
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
         double cost = sum(to, p -> lines + (open(p) ? 0 : head));
@@ -845,7 +976,7 @@
                 fits &= open(p) || p.messages.size() + 1 <= part * messageCap;
             }
         }
-        if (fits && !to.isEmpty()) {
+        if (fits) {
             if (writtenAt != now) {
                 writtenAt = now;
                 bookedBefore = booked;
--- a/src/main/java/sprucelanding/Orders.java
+++ b/src/main/java/sprucelanding/Orders.java
@@ -11,6 +11,9 @@
     /** Sets a replica's weight in a table; 0 removes its line. */
     void line(int table, Replica replica, double weight);
 
+    /** Removes all lines and levels of a table. */
+    void clear(int table);
+
     /** Shuts a replica out of every table that joined proxies hold, or lets it back in. */
     void withdraw(Replica replica, boolean out);
 
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -41,6 +41,9 @@
     /** It fell silent together with its zone, whose proxies then are likely lost as well. */
     boolean withZone;
 
+    /** Connections that tables of few servers ask of it, as they are dealt. */
+    double dealt;
+
     Replica(long id) {
         this.id = id;
     }
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -25,7 +25,8 @@
         }
     }
 
-    final int number;
+    /** -1 while it is laid nowhere. */
+    int number;
     /** A product of this table: all that share it are open to the same replicas. */
     final Product like;
     /** The zone of its proxies and replicas, or -1 for all. */
@@ -38,6 +39,8 @@
     final Map<Replica, Row> rows = new LinkedHashMap<>();
     /** The joined proxies that were put on it. */
     final Set<Proxy> users = new LinkedHashSet<>();
+    /** These, and those that have been since it was last cleared. */
+    final Set<Proxy> held = new LinkedHashSet<>();
     /** By product, the level and the retry last ordered; a negative level is none. */
     final double[] letIn;
     final int[] retry;
--- a/src/main/java/sprucelanding/wire/Pen.java
+++ b/src/main/java/sprucelanding/wire/Pen.java
@@ -31,6 +31,11 @@
         reply.append('\n');
     }
 
+    @Override
+    public void clear(int table) {
+        open("TRUNCATE").append('\t').append(table).append('\n');
+    }
+
     @Override
     public void withdraw(Replica replica, boolean out) {
         open("BENCH").append('\t').append(replica.id).append('\t').append(out ? 1 : 0).append('\n');
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.BitSet;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 /** Stories of what the module met, told to a host without a bench. */
@@ -446,4 +447,25 @@
         quick.run(4, () -> { });
         assertTrue(quick.bound.size() > 1.5 * slow.bound.size(), quick.bound.size() + ", " + slow.bound.size());
     }
+
+    @Test
+    void whenConnectionsRunShortProxiesShareTablesOfFewServers() {
+        FakeHost host = FakeHost.large(true, 30, 24);
+        host.run(10, () -> well(host, 30, 0.4, 10));
+        host.run(10, () -> {
+            for (long id = 1; id <= 30; id++) {
+                host.choice.met(id, 10, 7, 200, 0.4);
+            }
+        });
+        assertTrue(host.logged("tables of"));
+        assertTrue(new TreeSet<>(host.places.values()).size() > 5);
+        for (int place : host.places.values()) {
+            assertTrue(host.tables.get(place).size() >= 3 && host.tables.get(place).size() < 20);
+        }
+        host.run(90, () -> well(host, 30, 0.4, 10));
+        assertTrue(host.logged("whole again"));
+        assertEquals(1, new TreeSet<>(host.places.values()).size());
+        assertEquals(30, host.tables.get(host.places.get(0)).size());
+        assertEquals(1, host.tables.size(), "what nobody goes by is cleared");
+    }
 }
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -17,6 +17,8 @@
     final Map<Integer, Double> levels = new TreeMap<>();
     final Map<Integer, Integer> retries = new TreeMap<>();
     final Map<Integer, Integer> bound = new TreeMap<>();
+    /** By proxy, the table it was last put on. */
+    final Map<Integer, Integer> places = new TreeMap<>();
     final List<Long> probed = new ArrayList<>();
     final TreeMap<Double, List<Integer>> bells = new TreeMap<>();
     /** Replicas whose probes get this answer; all others answer well. */
@@ -138,6 +140,11 @@
         tables.computeIfAbsent(table, t -> new TreeMap<>()).put(replica.id, weight);
     }
 
+    @Override
+    public void clear(int table) {
+        tables.remove(table);
+    }
+
     @Override
     public void level(int table, Product product, double letIn, int retry) {
         written = true;
@@ -149,6 +156,7 @@
     public void bind(int table, Proxy proxy, BitSet products) {
         orders.add("bind");
         written = true;
+        places.put(proxy.id, table);
         bound.merge(proxy.id, (int) products.toLongArray()[0], (a, b) -> a | b);
     }
 
