--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -304,6 +304,9 @@
             }
             wanted.remove(row);
             double want = want(row);
+            if (want == 0 && !row.replica.withZone && !t.users.isEmpty()) {
+                foresee(row.sent / sum(tables, x -> sum(x.rows.values(), y -> y.sent)));
+            }
             row.sent = want;
             t.orderedAt = now;
             orders.line(t.number, row.replica, want);
@@ -345,6 +348,9 @@
                 if (!fits(List.of(p), 1 + to.rows.size() + to.products.cardinality(), URGENT)) {
                     return false;
                 }
+                if (p.bare && p.on.isEmpty()) {
+                    foresee(p.usual / sum(proxies.values(), x -> x.usual));
+                }
                 p.moveTo(to);
                 orders.bind(to.number, p, to.products);
                 return true;
@@ -412,6 +418,7 @@
             boolean alone = r.unanswered >= SILENT_AFTER && (few || !settles(r));
             if (!r.out && r.unanswered >= SILENT_AFTER / 2 && (together || alone)) {
                 leaves(r, 0, STAY_SILENT, "no answer to probes" + (together ? ", nor from its zone" : ""));
+                r.withZone = together;
             }
         }
         for (Table t : wide) {
@@ -682,6 +689,13 @@
         }
     }
 
+    /** The others' load grows by this share: a replica left alone, or a proxy's traffic came (back). */
+    private void foresee(double share) {
+        for (int i = turns > LAG_TURNS ? past.size() : 0; i > 0; i--) {
+            past.addLast(past.pollFirst() * Math.max(LEAST_LOAD, 1 - share));
+        }
+    }
+
     /** The rate at each proxy that lets in the product's share: those that get little keep all of it. */
     private double rate(Product p) {
         double[] demands = proxies.values().stream().mapToDouble(x -> x.demand[p.index]).sorted().toArray();
