--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -20,8 +20,7 @@
     public enum Admission { SHARE, RATE, NONE }
 
     private static final int TURN_BELL = 1, DUE_BELL = 2;
-    private static final double NEVER = Double.NEGATIVE_INFINITY;
-    private static final double TURN = 1000; // a cycle: weights and levels move once in it
+    private static final double NEVER = Double.NEGATIVE_INFINITY, TURN = 1000; // weights move once in a turn
     /** For speed, dozens of tries, more while queues blur it; for health, where trouble must show at once. */
     private static final double MEMORY = 6000, LONG_MEMORY = 18_000, SHORT_MEMORY = 2500;
     private static final double PRIOR = 0.3; // the listed weight's part, beside an average replica's evidence
@@ -29,34 +28,24 @@
     private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
     /** Load while none is known; past which a weight shrinks, queues grow, one is zeroed; steered for. */
     private static final double USUAL_LOAD = 0.5, BUSY = 0.8, SATURATED = 0.75, ZERO_PAST = 0.95, GOAL = 0.7;
-    /** A weight shrinks at once, or is zeroed, for load only if that stands this far above the rest's. */
-    private static final double CROWDED = 1.25, ABOVE_REST = 1.5;
+    private static final double CROWDED = 1.25, ABOVE_REST = 1.5; // times the mean, to shrink or be zeroed
     private static final int SILENT_AFTER = 4; // probes missed in a row; a refused connection counts twice
-    /** Of a table's lines, at least this part stays when silence, or when failure or load, takes some out. */
-    private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5;
-    /** Share of tries voided, above the fleet's, that is a sickness; and what a full replica is spared. */
-    private static final double SICK = 0.35, SICK_FULL = 0.3;
-    private static final double CALM = 0.7; // below this mean load a lone silence is no full queue
-    private static final double MOST = 0.8, FEW = 0.15; // of a zone, or of the others
-    /** How long a sick replica stays out, doubling up to the longest while it falls sick again. */
-    private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000;
-    private static final int LAG_TURNS = 3; // until a level shows in the reports
+    private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5; // of a table, whatever leaves it
+    private static final double SICK = 0.35, SICK_FULL = 0.3; // voided above the fleet's; spared when full
+    private static final double CALM = 0.7, MOST = 0.8, FEW = 0.15; // load; silent of a zone; of others
+    private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000; // out when sick, doubling
+    private static final int LAG_TURNS = 3, FIRST_LOOK = 1; // until a level shows; before old orders go
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6, UNLIMITED = 1e6;
     /** Most that late and voided answers add to load; foreseen load that cuts at once; late: of SLA time. */
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5;
     /** Parts of the channel's limits: for the ordinary, for health, for levels, for the rules. */
     private static final double ORDINARY = 0.5, URGENT = 0.75, VITAL = 0.8, BINDING = 1;
-    private static final double LOOSE = 0.67; // of the first two, in lines: gone servers come in crowds
-    private static final double TRUSTED = 0.5; // of the channel's stated pace, until receipts tell more
-    /** Ranks of lines: for the rules, for health; the rest by traffic moved, up to 1 at MOVED means. */
-    private static final double MUST = 4, SOON = 2, MOVED = 8;
+    private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
+    private static final double MUST = 4, SOON = 2, MOVED = 8; // ranks; the rest by traffic moved, in means
     private static final int NUMBERS = 60_000; // for receipts and tables, used in turn
-    private static final int FIRST_LOOK = 1; // turns before proxies with old orders are bound
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
-    /** Of the time to get warm, when a jam can push one over; share voided past which such replicas wait. */
-    private static final double TENDER = 0.5, COLD_VOIDED = 0.15;
-    /** Share voided at most servers that tells of short connections; servers that a part has beside need. */
-    private static final double ALL_VOIDED = 0.3, SPARE = 1.5;
+    private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
+    private static final double ALL_VOIDED = 0.3, SPARE = 1.5; // at most servers; servers beside the need
     private static final int PART = 3, SHARING = 2; // servers in a part at least, and proxies with little
     private static final double LONGEST_QUIET = 40_000; // before parts grow; an eighth of it at first
 
@@ -65,9 +54,8 @@
     private boolean probes, softRemoval;
     private final Admission admission;
     private double coldFrom, warmAfter, reportEvery, linesPerMs, head, queueCap, messageSpan;
-    private int messageCap;
-    /** Until what a new proxy meets was reported; from when a load says nothing any more. */
-    private double unmet, stale;
+    private int messageCap, serial;
+    private double unmet, stale; // until what a new proxy meets was reported; a load's age that tells nothing
 
     private double now, dueBell = -NEVER;
     private long dueCount, turns;
@@ -94,7 +82,6 @@
     /** Lines that wait in the channel, as of when; all booked so far, and before each receipt asked for. */
     private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER;
     private final Map<Integer, Double> receipts = new HashMap<>();
-    private int serial;
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
     public Choice(SplittableRandom chance, Product[] products, int zones, Admission admission) {
@@ -181,13 +168,10 @@
     public void probed(long id, Answer answer, double load) {
         Replica r = replicas.get(id);
         if (r != null) {
-            boolean ok = answer == Answer.OK;
-            boolean missed = !ok && answer != Answer.BUSY && answer != Answer.NONE;
-            r.answered = missed ? 0 : r.answered + (ok ? 1 : 0);
-            r.unanswered = ok ? 0 : r.unanswered + (answer == Answer.UNREACHABLE ? 2 : missed ? 1 : 0);
+            boolean missed = answer != Answer.OK && answer != Answer.BUSY && answer != Answer.NONE;
+            r.probed(answer == Answer.OK, !missed ? 0 : answer == Answer.UNREACHABLE ? 2 : 1);
             r.toldAt = load >= 0 ? now : r.toldAt;
             r.reported(answer == Answer.SILENT && settles(r) ? 1 : load, now);
-            r.probing = false;
             r.stage = r.stage == Stage.MISSING && missed ? Stage.GONE : r.stage;
             news = true;
         }
@@ -226,7 +210,6 @@
         unbound = null;
     }
 
-    /** Gives the next order, if there is one. */
     public boolean decide(Orders orders) {
         wanted = news || turnDue ? null : wanted;
         unbound = turnDue ? null : unbound;
@@ -305,9 +288,9 @@
             wanted.remove(row);
             double want = want(row);
             if (want == 0 && !row.replica.withZone && !t.users.isEmpty()) {
-                foresee(row.sent / sum(tables, x -> sum(x.rows.values(), y -> y.sent)));
+                foresee(row.sent / sum(tables, x -> x.sent));
             }
-            row.sent = want;
+            row.send(want);
             t.orderedAt = now;
             orders.line(t.number, row.replica, want);
             if (row.replica.stage == Stage.GONE) {
@@ -335,9 +318,8 @@
     /** Those first that carry most. A governor that starts anew looks at the load first, lest all come in. */
     private boolean binds(Orders orders) {
         if (unbound == null) {
-            unbound = new ArrayList<>(proxies.values());
-            unbound.removeIf(p -> wide.stream().allMatch(t -> !p.due(t)));
-            unbound.sort(Comparator.comparingDouble(p -> -p.usual));
+            unbound = proxies.values().stream().filter(p -> wide.stream().anyMatch(p::due))
+                    .sorted(Comparator.comparingDouble(p -> -p.usual)).toList();
         }
         for (Proxy p : unbound) {
             for (Table t : wide) {
@@ -409,9 +391,9 @@
     // (a cut, a loss), or hardly any other is (a hang, a crash): else the probes stand in full queues.
     private void judge() {
         Map<Integer, List<Replica>> zones = roll.stream().collect(Collectors.groupingBy(r -> r.zone));
-        zones.values().removeIf(z -> mute(z) >= MOST * z.size());
+        zones.values().removeIf(z -> sum(z, Replica::mute) >= MOST * z.size());
         double others = sum(zones.values(), List::size);
-        double stray = sum(zones.values(), this::mute);
+        double stray = sum(zones.values(), z -> sum(z, Replica::mute));
         boolean few = meanLoad < CALM && stray <= Math.max(1, FEW * others);
         for (Replica r : roll) {
             boolean together = !zones.containsKey(r.zone) && others > 0 && stray <= FEW * others;
@@ -433,10 +415,6 @@
         }
     }
 
-    private double mute(List<Replica> some) {
-        return sum(some, r -> r.unanswered > 0 ? 1 : 0);
-    }
-
     /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
         return now - r.settledAt < 1.5 * reportEvery || turns * TURN < unmet;
@@ -457,8 +435,6 @@
         }
     }
 
-    // ---- the turn: what weights and levels should be
-
     private void turn() {
         double fade = Math.exp(-TURN / (strained ? LONG_MEMORY : MEMORY));
         double quick = Math.exp(-TURN / SHORT_MEMORY);
@@ -472,9 +448,9 @@
         List<Replica> in = roll.stream().filter(r -> !r.out && r.settled > 0).toList();
         double settled = sum(in, r -> r.settled);
         double busy = sum(in, r -> r.busyTime);
-        double weights = Math.max(Double.MIN_NORMAL, sum(seen, this::part));
-        double load = sum(seen, r -> r.load * part(r)) / weights;
-        meanLoad = sum(seen, r -> r.steadyLoad * part(r)) / weights;
+        double weights = Math.max(Double.MIN_NORMAL, sum(seen, r -> r.sent));
+        double load = sum(seen, r -> r.load * r.sent) / weights;
+        meanLoad = sum(seen, r -> r.steadyLoad * r.sent) / weights;
         double voided = sum(roll, r -> r.voided);
         double answered = sum(roll, r -> r.tries) - voided;
         double answerTime = sum(roll, r -> r.waited) / (answered + 1);
@@ -565,8 +541,6 @@
         }
     }
 
-    // ---- connections run short: shared tables of few servers
-
     // Tries that fail at most servers, though these answer probes and have load to spare, mean too few
     // connections for all proxies: these then share tables of few servers, of twice as many after each quiet
     // time. Guards against all that grows with connections; harms if tries fail all over for other reasons.
@@ -575,15 +549,11 @@
                 .mapToDouble(r -> r.voided / (r.tries + 1)).sorted().toArray();
         double usual = shares.length == 0 ? 0 : shares[shares.length / 2];
         boolean few = !strained && Math.max(load, meanLoad) < SATURATED && usual > ALL_VOIDED;
-        boolean again = now - dealtAt > unmet;
-        if (few && again && each != PART) {
-            each = PART;
-            quiet = Math.min(LONGEST_QUIET, quiet * 2);
-            notes.add("tables of few servers: voided " + percent(usual) + ", load " + percent(meanLoad));
-            deal();
-        } else if (each > 0 && !few && now - dealtAt > quiet) {
-            each = 4 * each > roll.size() ? 0 : 2 * each;
-            notes.add(each == 0 ? "tables whole again" : "tables of more servers: " + each);
+        if (few ? each != PART && now - dealtAt > unmet : each > 0 && now - dealtAt > quiet) {
+            each = few ? PART : 4 * each > roll.size() ? 0 : 2 * each;
+            quiet = few ? Math.min(LONGEST_QUIET, quiet * 2) : quiet;
+            notes.add((each == 0 ? "tables whole again" : "tables of few servers, " + each) + ": voided "
+                    + percent(usual) + ", load " + percent(meanLoad));
             deal();
         }
     }
@@ -595,7 +565,7 @@
         unbound = null;
         for (Table t : wide) {
             t.parts.clear();
-            t.number = t.number < 0 && each == 0 ? nextNumber() : t.number;
+            t.number = t.number < 0 && each == 0 ? wide.size() + NUMBERS + wide.indexOf(t) : t.number;
         }
         List<Proxy> all = new ArrayList<>(each == 0 ? List.of() : proxies.values());
         all.sort(Comparator.comparingDouble(p -> -p.total()));
@@ -616,7 +586,8 @@
 
     /** With this share of the weight and some to spare: the servers with the least connections so far. */
     private void part(Table t, double share, int proxies) {
-        Table part = new Table(nextNumber(), t.like, t.home, t, products.length);
+        laid = (laid + 1) % NUMBERS; // by then, whatever had the number has long been cleared
+        Table part = new Table(wide.size() + laid, t.like, t.home, t, products.length);
         tables.add(part);
         t.parts.add(part);
         List<Table.Row> rows = new ArrayList<>(t.rows.values());
@@ -631,11 +602,6 @@
         }
     }
 
-    private int nextNumber() {
-        laid = laid == NUMBERS ? 0 : laid + 1; // by then, whatever had the number has long been cleared
-        return wide.size() + laid;
-    }
-
     /** Clears a table that no proxy goes by: those that were on it hold connections for its lines. */
     private boolean clears(Orders orders) {
         for (Table t : tables) {
@@ -707,14 +673,11 @@
         return i == demands.length ? UNLIMITED : Math.max(0.1, left / (demands.length - i));
     }
 
-    // ---- shared by the decisions
-
     private double want(Table.Row row) {
         Replica r = row.replica;
         return !r.listed() || r.out || holdCold && young(r, TENDER) ? 0 : row.weight;
     }
 
-    /** How many lines a table should have. */
     private double live(Table t) {
         return sum(t.rows.values(), row -> want(row) > 0 ? 1 : 0);
     }
@@ -724,11 +687,6 @@
         return n == 0 ? SCALE / USUAL_LOAD : sum(t.rows.values(), this::want) / n;
     }
 
-    /** How much traffic the tables send to it, beside the others. */
-    private double part(Replica r) {
-        return sum(tables, t -> t.rows.containsKey(r) ? t.rows.get(r).sent : 0);
-    }
-
     private static <T> double sum(Collection<T> all, ToDoubleFunction<T> figure) {
         double sum = 0;
         for (T each : all) {
@@ -737,7 +695,6 @@
         return sum;
     }
 
-    /** Within this part of the time that it takes to get warm. */
     private boolean young(Replica r, double part) {
         return r.startedAt > 0 && now - r.startedAt < part * warmAfter;
     }
@@ -756,7 +713,6 @@
 
     // ---- the gate: one model of the lines that wait in the channel and of the messages to each proxy
 
-    /** Books lines for these proxies, if they fit into the given part of the limits. */
     private boolean fits(Collection<Proxy> to, int lines, double part) {
         if (to.isEmpty()) {
             return true;
@@ -766,9 +722,9 @@
         double receipts = writtenAt == now ? 0 : proxies.size();
         double cost = receipts + sum(to, p -> lines + (p.written(now) ? 0 : head));
         boolean fits = waiting + cost <= (part <= URGENT ? part * LOOSE : part) * queueCap;
-        for (Proxy p : messageCap > 0 ? to : List.<Proxy>of()) {
+        for (Proxy p : to) {
             p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
-            fits &= p.written(now) || p.messages.size() + 1 <= part * messageCap;
+            fits &= messageCap == 0 || p.written(now) || p.messages.size() + 1 <= part * messageCap;
         }
         if (fits) {
             bookedBefore = writtenAt == now ? bookedBefore : booked;
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -30,6 +30,8 @@
     /** Learnt speed; 1 is the mean. */
     double speed = 1;
 
+    /** Sum of its weights, as last ordered, over all tables. */
+    double sent;
     boolean probing;
     /** Probes in a row without an answer, a refused connection counting for two; and with one. */
     int unanswered;
@@ -74,6 +76,17 @@
         settledAt = tries > voided ? now : settledAt;
     }
 
+    /** How much the missed ones count for. */
+    void probed(boolean ok, int missed) {
+        answered = missed > 0 ? 0 : answered + (ok ? 1 : 0);
+        unanswered = ok ? 0 : unanswered + missed;
+        probing = false;
+    }
+
+    double mute() {
+        return unanswered > 0 ? 1 : 0;
+    }
+
     void fade(double part) {
         tries *= part;
         voided *= part;
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -23,6 +23,12 @@
             this.table = table;
             this.replica = replica;
         }
+
+        void send(double weight) {
+            table.sent += weight - sent;
+            replica.sent += weight - sent;
+            sent = weight;
+        }
     }
 
     /** -1 while it is laid nowhere. */
@@ -44,6 +50,8 @@
     /** By product, the level and the retry last ordered; a negative level is none. */
     final double[] letIn;
     final int[] retry;
+    /** Sum of its lines' weights, as last ordered. */
+    double sent;
     /** When a line was last ordered. */
     double orderedAt = Double.NEGATIVE_INFINITY;
     /** Demand for each unit of its replicas' speed; 1 is the mean over all. */
@@ -69,7 +77,7 @@
     void cleared() {
         number = -1;
         held.clear();
-        rows.values().forEach(row -> row.sent = 0);
+        rows.values().forEach(row -> row.send(0));
         Arrays.fill(letIn, -1);
     }
 
@@ -79,7 +87,7 @@
     }
 
     boolean empty() {
-        return rows.values().stream().allMatch(row -> row.sent == 0);
+        return sent == 0;
     }
 
     Row line(Replica r) {
