--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -530,13 +530,13 @@
     /** Through the slow start, with nothing known of it; on the first list, at once for what runs long. */
     private void comeIn(Replica r) {
         r.forget();
-        double share = r.listedWeight * roll.size() / sum(roll, x -> x.listedWeight) * coldShare(r);
         for (Table t : wide) {
             if (t.open(r)) {
+                List<Replica> alike = roll.stream().filter(t::open).toList();
+                double share = r.listedWeight * alike.size() / sum(alike, x -> x.listedWeight) * coldShare(r);
                 double start = firstList ? SCALE / USUAL_LOAD * share : mean(t) * SLOW_START;
                 t.line(r).weight = Math.max(1, Math.rint(start));
-                t.parts.stream().filter(p -> p.rows.containsKey(r)).map(p -> p.line(r))
-                        .forEach(row -> row.weight = t.line(r).weight);
+                t.parts.forEach(p -> p.rows.computeIfPresent(r, (x, row) -> row.at(t.line(r).weight)));
             }
         }
     }
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -24,6 +24,11 @@
             this.replica = replica;
         }
 
+        Row at(double weight) {
+            this.weight = weight;
+            return this;
+        }
+
         void send(double weight) {
             table.sent += weight - sent;
             replica.sent += weight - sent;
