--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -80,7 +80,7 @@
     private int each, laid;
     private double dealtAt = NEVER, quiet = LONGEST_QUIET / 8;
     /** Lines that wait in the channel, as of when; all booked so far, and before each receipt asked for. */
-    private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER;
+    private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER;
     private final Map<Integer, Double> receipts = new HashMap<>();
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
@@ -280,8 +280,8 @@
             }
             // With many proxies, lines sent as they come up would fill the channel with heads, and
             // removals find no room: the time that those heads take must have passed, or twice that.
-            double heads = must || t.orderedAt == now ? 0 : t.users.size() * head / (linesPerMs * TRUSTED);
-            if (now - t.orderedAt < heads * (part == ORDINARY ? 2 : 1) || !fits(t.users, 1, part)) {
+            double heads = must ? 0 : sum(t.users, p -> p.written(now) ? 0 : head) / (linesPerMs * TRUSTED);
+            if (now - orderedAt < heads * (part == ORDINARY ? 2 : 1) || !fits(t.users, 1, part)) {
                 full.addAll(must ? tables : List.of(t));
                 continue;
             }
@@ -291,7 +291,7 @@
                 foresee(row.sent / sum(tables, x -> x.sent));
             }
             row.send(want);
-            t.orderedAt = now;
+            orderedAt = t.users.isEmpty() ? orderedAt : now;
             orders.line(t.number, row.replica, want);
             if (row.replica.stage == Stage.GONE) {
                 t.rows.remove(row.replica);
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -57,8 +57,6 @@
     final int[] retry;
     /** Sum of its lines' weights, as last ordered. */
     double sent;
-    /** When a line was last ordered. */
-    double orderedAt = Double.NEGATIVE_INFINITY;
     /** Demand for each unit of its replicas' speed; 1 is the mean over all. */
     double pressure;
 
