--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -38,8 +38,7 @@
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6, UNLIMITED = 1e6;
     /** Most that late and voided answers add to load; foreseen load that cuts at once; late: of SLA time. */
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5;
-    /** Parts of the channel's limits: for the ordinary, for health, for levels, for the rules. */
-    private static final double ORDINARY = 0.5, URGENT = 0.75, VITAL = 0.8, BINDING = 1;
+    private static final double ORDINARY = 0.6, URGENT = 0.75, VITAL = 0.8, BINDING = 1; // of its limits
     private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
     private static final double MUST = 4, SOON = 2, MOVED = 8; // ranks; the rest by traffic moved, in means
     private static final int NUMBERS = 60_000; // for receipts and tables, used in turn
@@ -53,7 +52,7 @@
     private final Product[] products;
     private boolean probes, softRemoval;
     private final Admission admission;
-    private double coldFrom, warmAfter, reportEvery, linesPerMs, head, queueCap, messageSpan;
+    private double coldFrom, warmAfter, reportEvery, linesPerMs, head, queueCap, messageSpan, cycle;
     private int messageCap, serial;
     private double unmet, stale; // until what a new proxy meets was reported; a load's age that tells nothing
 
@@ -114,6 +113,7 @@
         this.queueCap = queueCap;
         this.messageCap = messageCap;
         this.messageSpan = messageSpan;
+        cycle = messageCap == 0 ? 0 : messageSpan / (ORDINARY * messageCap);
     }
 
     public void reports(boolean probes, double every) {
@@ -275,13 +275,14 @@
             Table t = row.table;
             boolean must = row.rank >= MUST;
             double part = must ? BINDING : row.rank >= SOON ? URGENT : ORDINARY;
-            if (full.contains(t) || part == ORDINARY && !ordinary && !t.users.isEmpty() && !t.empty()) {
-                continue;
-            }
-            // With many proxies, lines sent as they come up would fill the channel with heads, and
-            // removals find no room: the time that those heads take must have passed, or twice that.
-            double heads = must ? 0 : sum(t.users, p -> p.written(now) ? 0 : head) / (linesPerMs * TRUSTED);
-            if (now - orderedAt < heads * (part == ORDINARY ? 2 : 1) || !fits(t.users, 1, part)) {
+            // Lines sent as they come up would fill the channel with heads, and removals find no room: the
+            // time that heads take must have passed; where messages are capped, ordinary ones go evenly.
+            boolean may = part > ORDINARY || ordinary || messageCap > 0;
+            boolean rides = may && t.users.stream().allMatch(p -> p.written(now)) || t.users.isEmpty();
+            double heads = t.users.size() * head / (linesPerMs * TRUSTED);
+            double pause = part > ORDINARY ? heads : may ? Math.max(2 * heads, cycle) : -NEVER;
+            pause = must || rides || t.empty() ? 0 : pause;
+            if (full.contains(t) || now - orderedAt < pause || !fits(t.users, 1, part)) {
                 full.addAll(must ? tables : List.of(t));
                 continue;
             }
@@ -552,8 +553,7 @@
         if (few ? each != PART && now - dealtAt > unmet : each > 0 && now - dealtAt > quiet) {
             each = few ? PART : 4 * each > roll.size() ? 0 : 2 * each;
             quiet = few ? Math.min(LONGEST_QUIET, quiet * 2) : quiet;
-            notes.add((each == 0 ? "tables whole again" : "tables of few servers, " + each) + ": voided "
-                    + percent(usual) + ", load " + percent(meanLoad));
+            notes.add((each == 0 ? "tables whole" : "tables of few servers") + ": voided " + percent(usual));
             deal();
         }
     }
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -463,9 +463,30 @@
             assertTrue(host.tables.get(place).size() >= 3 && host.tables.get(place).size() < 20);
         }
         host.run(90, () -> well(host, 30, 0.4, 10));
-        assertTrue(host.logged("whole again"));
+        assertTrue(host.logged("tables whole"));
         assertEquals(1, new TreeSet<>(host.places.values()).size());
         assertEquals(30, host.tables.get(host.places.get(0)).size());
         assertEquals(1, host.tables.size(), "what nobody goes by is cleared");
     }
+
+    @Test
+    void whereMessagesAreCappedOrdinaryOnesAreSpreadEvenly() {
+        FakeHost host = capped();
+        int most = 0;
+        int last = 0;
+        int still = 0;
+        for (int second = 0; second < 30; second++) {
+            int quarter = second / 4;
+            host.run(1, () -> {
+                for (long id = 1; id <= 9; id++) {
+                    host.choice.met(id, (id + quarter) % 2 == 0 ? 4 : 36, 0, 200, 0.5);
+                }
+                host.choice.came(9, 0, 60, 1000);
+            });
+            still = host.messages > last ? still + 1 : 0;
+            last = host.messages;
+            most = second > 5 ? Math.max(most, still) : 0;
+        }
+        assertTrue(host.messages > 8 && most < 3, "messages in " + most + " turns on end");
+    }
 }
