--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -483,4 +483,26 @@
         }
         assertTrue(longest < 3, "nothing was ordered for " + longest + " turns");
     }
+
+    @Test
+    void productsKindsAndZonesPastAWordDoNotWrap() {
+        Product[] products = new Product[70];
+        for (int k = 0; k < products.length; k++) {
+            BitSet kinds = new BitSet();
+            kinds.set(k);
+            products[k] = new Product(k, true, 1, 800, kinds, new BitSet(), false);
+        }
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, products);
+        host.choice.roll(true, false, 0.2, 16_000);
+        host.choice.listOpens(true, true);
+        host.choice.listed(1, 68, 5, 1, 0, Choice.Stage.READY);
+        host.choice.listed(2, 69, 69, 1, 0, Choice.Stage.READY);
+        host.choice.listCloses();
+        host.choice.joined(9, 68, 100, true);
+        host.settle();
+        assertEquals(1, host.tables.get(5).size());
+        assertTrue(host.tables.get(69).containsKey(2L));
+        assertFalse(host.tables.containsKey(68));
+        assertEquals(2, host.orders.stream().filter("bind"::equals).count());
+    }
 }
