--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -40,7 +40,7 @@
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5;
     private static final double ORDINARY = 0.6, URGENT = 0.75, VITAL = 0.8, BINDING = 1; // of its limits
     private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
-    private static final double MUST = 4, SOON = 2, MOVED = 8; // ranks; the rest by traffic moved, in means
+    private static final double MUST = 4, FILL = 3, SOON = 2, MOVED = 8; // ranks; the rest by means moved
     private static final int NUMBERS = 60_000; // for receipts and tables, used in turn
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
@@ -67,10 +67,8 @@
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
     private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList;
-    /** Cold replicas get no line: in a jam, proxies shun the full ones, and all of that would go there. */
-    private boolean holdCold = true;
-    /** What waits to be ordered, first things first; null after anything that may have changed it. */
-    private List<Table.Row> wanted;
+    private boolean holdCold = true; // cold ones get no line: in a jam, all that proxies shun goes there
+    private List<Table.Row> wanted; // what waits to be ordered, in turn; null once that may have changed
     private List<Proxy> unbound;
     /** Share of all demand that is let in; and over the last turns, for reports tell of the oldest. */
     private double admitted = 1, meanLoad, voidShare;
@@ -274,9 +272,8 @@
         for (Table.Row row : wanted) {
             Table t = row.table;
             boolean must = row.rank >= MUST;
-            double part = must ? BINDING : row.rank >= SOON ? URGENT : ORDINARY;
-            // Lines sent as they come up would fill the channel with heads, and removals find no room: the
-            // time that heads take must have passed; where messages are capped, ordinary ones go evenly.
+            double part = must ? BINDING : row.rank >= FILL ? VITAL : row.rank >= SOON ? URGENT : ORDINARY;
+            // Heads alone must not fill the channel; where messages are capped, ordinary ones go evenly.
             boolean may = part > ORDINARY || ordinary || messageCap > 0;
             boolean rides = may && t.users.stream().allMatch(p -> p.written(now)) || t.users.isEmpty();
             double heads = t.users.size() * head / (linesPerMs * TRUSTED);
@@ -293,6 +290,7 @@
             }
             row.send(want);
             orderedAt = t.users.isEmpty() ? orderedAt : now;
+            wanted = want == 0 && 2 * t.sent < t.aim ? null : wanted;
             orders.line(t.number, row.replica, want);
             if (row.replica.stage == Stage.GONE) {
                 t.rows.remove(row.replica);
@@ -304,13 +302,15 @@
 
     private void rank(Table t) {
         double mean = mean(t);
-        boolean empty = t.empty();
+        t.aim = sum(t.rows.values(), this::want);
+        boolean thin = 2 * t.sent < t.aim; // one line alone would take all
         for (Table.Row row : t.rows.values()) {
             double want = want(row);
             double moved = Math.abs(want - row.sent);
             boolean soon = row.sent > 0 && (want == 0 || young(row.replica, 1) && want < row.sent / 2);
-            row.rank = Math.min(1, moved / mean / MOVED) + (!soon ? 0 : row.replica.listed() ? SOON : MUST);
-            if (moved > 0 && t.number >= 0 && (soon || empty || moved >= CHANGE * Math.max(want, row.sent))) {
+            double base = thin && want > row.sent ? FILL : !soon ? 0 : row.replica.listed() ? SOON : MUST;
+            row.rank = Math.min(1, moved / mean / MOVED) + base;
+            if (moved > 0 && t.number >= 0 && (base > 0 || moved >= CHANGE * Math.max(want, row.sent))) {
                 wanted.add(row);
             }
         }
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -55,8 +55,9 @@
     /** By product, the level and the retry last ordered; a negative level is none. */
     final double[] letIn;
     final int[] retry;
-    /** Sum of its lines' weights, as last ordered. */
+    /** Sum of its lines' weights, as last ordered, and as wanted when last ranked. */
     double sent;
+    double aim;
     /** Demand for each unit of its replicas' speed; 1 is the mean over all. */
     double pressure;
 
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -505,4 +505,19 @@
         assertFalse(host.tables.containsKey(68));
         assertEquals(2, host.orders.stream().filter("bind"::equals).count());
     }
+
+    @Test
+    void aTableThatLostMostOfItsLinesIsFilledAtOnceAndNotByOneLine() {
+        FakeHost host = FakeHost.large(true, 20, 100);
+        host.run(2, () -> well(host, 40, 0.5, 10));
+        host.choice.listOpens(false, false);
+        for (long id = 1; id <= 40; id++) {
+            host.choice.listed(id, 0, 0, 1, 0, id <= 38 ? Choice.Stage.GONE : Choice.Stage.READY);
+            host.choice.listed(id + 40, 0, 0, 1, 0, Choice.Stage.READY);
+        }
+        host.choice.listCloses();
+        host.run(3, () -> well(host, 80, 0.5, 10));
+        long laid = host.tables.get(0).values().stream().filter(w -> w > 0).count();
+        assertTrue(laid > 15, "lines laid: " + laid);
+    }
 }
