--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -7,9 +7,8 @@
 /**
  * Decides what one governor tells its proxies. The host opens it with what the site states (the constructor,
  * then roll, channel and reports, once each). At each event it calls clock, then the inputs, which only note
- * what is known, and then decide until that says false; each call gives one order of those in Orders. Facts
- * kept: Replica, Proxy, Product, Table. Weights follow docs/design.md: halfway steps to inverse load, zeroing
- * past a threshold, removals first, then the largest changes, within what the channel drains. Times are ms.
+ * what is known, and then decide until that says false; each call gives one order of those in Orders. Weights
+ * follow docs/design.md: halfway steps to inverse load, zeroing past a threshold, removals first. Times: ms.
  */
 public final class Choice {
     /** Missing: dropped from the list without a word of draining, where that alone does not bind. */
@@ -19,10 +18,9 @@
 
     public enum Admission { SHARE, RATE, NONE }
 
-    private static final int TURN_BELL = 1, DUE_BELL = 2;
+    private static final int TURN_BELL = 1, DUE_BELL = 2, NUMBERS = 60_000; // of receipts, of parts
     private static final double NEVER = Double.NEGATIVE_INFINITY, TURN = 1000; // weights move once in a turn
-    /** For speed, dozens of tries, more while queues blur it; for health, where trouble must show at once. */
-    private static final double MEMORY = 6000, LONG_MEMORY = 18_000, SHORT_MEMORY = 2500;
+    private static final double MEMORY = 6000, LONG_MEMORY = 18_000, SHORT_MEMORY = 2500; // speed; health
     private static final double PRIOR = 0.3; // the listed weight's part, beside an average replica's evidence
     /** The design's figures: weight at full load, least load that counts, slow start, growth, change sent. */
     private static final double SCALE = 100, LEAST_LOAD = 0.05, SLOW_START = 0.1, GROWTH = 1.5, CHANGE = 0.1;
@@ -33,20 +31,18 @@
     private static final double STAY_SILENT = 0.25, STAY_SICK = 0.5; // of a table, whatever leaves it
     private static final double SICK = 0.35, SICK_FULL = 0.3; // voided above the fleet's; spared when full
     private static final double CALM = 0.7, MOST = 0.8, FEW = 0.15; // load; silent of a zone; of others
-    private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000; // out when sick, doubling
+    /** Out when sick, doubling; and before tables of few servers grow, an eighth of it at first. */
+    private static final double SENTENCE = 4000, LONGEST_SENTENCE = 16_000, LONGEST_QUIET = 40_000;
     private static final int LAG_TURNS = 3, FIRST_LOOK = 1; // until a level shows; before old orders go
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6, UNLIMITED = 1e6;
-    /** Most that late and voided answers add to load; foreseen load that cuts at once; late: of SLA time. */
-    private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5;
-    private static final double ORDINARY = 0.6, URGENT = 0.75, VITAL = 0.8, BINDING = 1; // of its limits
+    private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5; // load; part of SLA time
+    private static final double ORDINARY = 0.6, URGENT = 0.75, VITAL = 0.8, ALL = 1; // of its limits
     private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
     private static final double MUST = 4, FILL = 3, SOON = 2, MOVED = 8; // ranks; the rest by means moved
-    private static final int NUMBERS = 60_000; // for receipts and tables, used in turn
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
     private static final double ALL_VOIDED = 0.3, SPARE = 1.5; // at most servers; servers beside the need
     private static final int PART = 3, SHARING = 2; // servers in a part at least, and proxies with little
-    private static final double LONGEST_QUIET = 40_000; // before parts grow; an eighth of it at first
 
     private final SplittableRandom chance;
     private final Product[] products;
@@ -62,22 +58,19 @@
     private List<Replica> roll = List.of(); // the replicas listed as ready
     private final Set<Replica> named = new LinkedHashSet<>();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
-    /** The tables of all servers; and all that are laid, with the parts that those are cut into. */
-    private final List<Table> wide = new ArrayList<>(), tables = new ArrayList<>();
+    private final List<Table> wide = new ArrayList<>(), tables = new ArrayList<>(); // those, with parts
+    private final ArrayDeque<Replica> barring = new ArrayDeque<>(); // what was listed, or left the list
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
     private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList;
     private boolean holdCold = true; // cold ones get no line: in a jam, all that proxies shun goes there
     private List<Table.Row> wanted; // what waits to be ordered, in turn; null once that may have changed
     private List<Proxy> unbound;
-    /** Share of all demand that is let in; and over the last turns, for reports tell of the oldest. */
     private double admitted = 1, meanLoad, voidShare;
-    private final ArrayDeque<Double> past = new ArrayDeque<>();
-    /** Servers in a part of a table, 0 while tables are whole; since when; how long until parts may grow. */
-    private int each, laid;
+    private final ArrayDeque<Double> past = new ArrayDeque<>(); // let in of late: reports tell of the oldest
+    private int each, laid; // servers in a part, 0 while tables are whole; parts laid so far
     private double dealtAt = NEVER, quiet = LONGEST_QUIET / 8;
-    /** Lines that wait in the channel, as of when; all booked so far, and before each receipt asked for. */
-    private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER;
+    private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER; // lines
     private final Map<Integer, Double> receipts = new HashMap<>();
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
@@ -121,8 +114,6 @@
         stale = 2 * every + PROBE_EVERY;
     }
 
-    // ---- inputs: they only note what is known
-
     public void clock(double now) {
         this.now = now;
     }
@@ -149,6 +140,7 @@
 
     /** Where a drop alone does not bind, a replica that answers keeps its line: the list may be wrong. */
     private void stage(Replica r, Stage told) {
+        barring.add(r);
         boolean serves = softRemoval && r.listed() && r.unanswered == 0 && !r.out;
         r.stage = told == Stage.GONE && serves ? Stage.MISSING : told;
     }
@@ -228,8 +220,8 @@
             orders.log(notes.poll());
             return true;
         }
-        if (dues(orders) || clears(orders) || strained && levels(orders) || lines(orders) || binds(orders)
-                || levels(orders)) {
+        if (dues(orders) || bars(orders) || clears(orders) || strained && levels(orders)
+                || lines(orders) || binds(orders) || levels(orders)) {
             return true;
         }
         ordinary = false;
@@ -261,6 +253,21 @@
         return true;
     }
 
+    /** Shuts what left out of the tables that unbound proxies brought along; lifted when listed again. */
+    private boolean bars(Orders orders) {
+        List<Proxy> loose = barring.isEmpty() ? List.of()
+                : proxies.values().stream().filter(p -> p.on.size() < wide.size()).toList();
+        barring.removeIf(r -> r.listed() ? !r.barred : r.barred || loose.isEmpty());
+        Replica r = barring.peek();
+        if (r == null || !fits(loose, 1, ALL)) {
+            return false;
+        }
+        barring.poll();
+        r.barred = !r.listed();
+        orders.withdraw(r, r.barred);
+        return true;
+    }
+
     /** The next line to order: removals first, then cuts that can't wait, then what moves most traffic. */
     private boolean lines(Orders orders) {
         if (wanted == null) {
@@ -271,16 +278,15 @@
         Set<Table> full = new HashSet<>();
         for (Table.Row row : wanted) {
             Table t = row.table;
-            boolean must = row.rank >= MUST;
-            double part = must ? BINDING : row.rank >= FILL ? VITAL : row.rank >= SOON ? URGENT : ORDINARY;
+            double part = row.rank < SOON ? ORDINARY : row.rank < FILL ? URGENT : row.rank < MUST ? VITAL : ALL;
             // Heads alone must not fill the channel; where messages are capped, ordinary ones go evenly.
             boolean may = part > ORDINARY || ordinary || messageCap > 0;
             boolean rides = may && t.users.stream().allMatch(p -> p.written(now)) || t.users.isEmpty();
             double heads = t.users.size() * head / (linesPerMs * TRUSTED);
             double pause = part > ORDINARY ? heads : may ? Math.max(2 * heads, cycle) : -NEVER;
-            pause = must || rides || t.empty() ? 0 : pause;
+            pause = part == ALL || rides || t.empty() ? 0 : pause;
             if (full.contains(t) || now - orderedAt < pause || !fits(t.users, 1, part)) {
-                full.addAll(must ? tables : List.of(t));
+                full.addAll(part == ALL ? tables : List.of(t));
                 continue;
             }
             wanted.remove(row);
@@ -388,8 +394,7 @@
         firstList = false;
     }
 
-    // What answers no probe is out; if it settles txns, only when its zone is silent and the others are not
-    // (a cut, a loss), or hardly any other is (a hang, a crash): else the probes stand in full queues.
+    // What answers no probe is out; while it settles txns, only with its zone or alone: else queues are full.
     private void judge() {
         Map<Integer, List<Replica>> zones = roll.stream().collect(Collectors.groupingBy(r -> r.zone));
         zones.values().removeIf(z -> sum(z, Replica::mute) >= MOST * z.size());
@@ -416,7 +421,6 @@
         }
     }
 
-    /** Whether reports told of settled txns of late, or none can have come yet. */
     private boolean settles(Replica r) {
         return now - r.settledAt < 1.5 * reportEvery || turns * TURN < unmet;
     }
@@ -465,9 +469,9 @@
                     / (r.busyTime + PRIOR * busy / in.size()) * busy / settled;
         }
         admit(load, answerTime);
-        boolean fresh = proxies.values().stream().anyMatch(p -> now - p.joinedAt < unmet);
         boolean few = roll.stream().filter(r -> young(r, TENDER)).count() <= STAY_SICK * roll.size();
-        holdCold = (voidShare > COLD_VOIDED || fresh) && few;
+        holdCold = few && (voidShare > COLD_VOIDED
+                || proxies.values().stream().anyMatch(p -> now - p.joinedAt < unmet));
         judge();
         cut(load);
         if (busy > 0) {
@@ -481,8 +485,7 @@
         }
     }
 
-    // Halfway to the inverse of load per share received, growth held for what comes up from little; a busy
-    // one shrinks by up to a quarter at once. A wide table leaves room for products open to fewer replicas.
+    // Halfway to the inverse of load per share received; a busy one shrinks by up to a quarter at once.
     private void step(Table t) {
         double mean = mean(t);
         double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
@@ -509,8 +512,7 @@
         return t.products.stream().mapToDouble(k -> products[k].demand * products[k].level).sum();
     }
 
-    // Out when its tries are voided far more often than the fleet's, a full one more so, for queues void too;
-    // zeroed when its load stays far above the rest. Back when it has sat its time and answers probes.
+    // Out when its tries are voided far more often than the fleet's; zeroed when its load stays far above it.
     private void health(Replica r) {
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
@@ -543,8 +545,7 @@
     }
 
     // Tries that fail at most servers, though these answer probes and have load to spare, mean too few
-    // connections for all proxies: these then share tables of few servers, of twice as many after each quiet
-    // time. Guards against all that grows with connections; harms if tries fail all over for other reasons.
+    // connections: proxies then share tables of few servers. Harms if tries fail all over for other reasons.
     private void cut(double load) {
         double[] shares = roll.stream().filter(r -> r.unanswered == 0 && r.tries >= 1)
                 .mapToDouble(r -> r.voided / (r.tries + 1)).sorted().toArray();
@@ -584,7 +585,6 @@
         }
     }
 
-    /** With this share of the weight and some to spare: the servers with the least connections so far. */
     private void part(Table t, double share, int proxies) {
         laid = (laid + 1) % NUMBERS; // by then, whatever had the number has long been cleared
         Table part = new Table(wide.size() + laid, t.like, t.home, t, products.length);
@@ -675,7 +675,7 @@
 
     private double want(Table.Row row) {
         Replica r = row.replica;
-        return !r.listed() || r.out || holdCold && young(r, TENDER) ? 0 : row.weight;
+        return r.out || !r.listed() || holdCold && young(r, TENDER) ? 0 : row.weight;
     }
 
     private double live(Table t) {
@@ -711,8 +711,7 @@
         return Math.round(share * 100) + "%";
     }
 
-    // ---- the gate: one model of the lines that wait in the channel and of the messages to each proxy
-
+    /** The gate: one model of the lines that wait in the channel and of the messages to each proxy. */
     private boolean fits(Collection<Proxy> to, int lines, double part) {
         if (to.isEmpty()) {
             return true;
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -32,6 +32,8 @@
 
     /** Sum of its weights, as last ordered, over all tables. */
     double sent;
+    /** Shut out of all tables, for proxies that are not bound yet. */
+    boolean barred;
     boolean probing;
     /** Probes in a row without an answer, a refused connection counting for two; and with one. */
     int unanswered;
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -428,7 +428,10 @@
         host.settle();
         for (long id = 1; id <= 6; id++) {
             assertEquals(0, host.weight(id), "replica " + id);
+            assertTrue(host.orders.contains("bar " + id), "proxies not yet bound may hold it");
         }
+        host.change(1, host.now, Choice.Stage.READY);
+        assertTrue(host.orders.contains("lift 1"));
     }
 
     @Test
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -187,7 +187,7 @@
 
     @Override
     public void withdraw(Replica replica, boolean out) {
-        throw new AssertionError("not used");
+        orders.add((out ? "bar " : "lift ") + replica.id);
     }
 
     @Override
