--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -36,7 +36,7 @@
     private static final int LAG_TURNS = 3, FIRST_LOOK = 1; // until a level shows; before old orders go
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6, UNLIMITED = 1e6;
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5; // load; part of SLA time
-    private static final double ORDINARY = 0.6, URGENT = 0.75, VITAL = 0.8, ALL = 1; // of its limits
+    private static final double USUAL = 0.6, URGENT = 0.75, VITAL = 0.8, ALL = 1; // of its limits
     private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
     private static final double MUST = 4, FILL = 3, SOON = 2, MOVED = 8; // ranks; the rest by means moved
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
@@ -104,7 +104,7 @@
         this.queueCap = queueCap;
         this.messageCap = messageCap;
         this.messageSpan = messageSpan;
-        cycle = messageCap == 0 ? 0 : messageSpan / (ORDINARY * messageCap);
+        cycle = messageCap == 0 ? 0 : messageSpan / (USUAL * messageCap);
     }
 
     public void reports(boolean probes, double every) {
@@ -278,12 +278,12 @@
         Set<Table> full = new HashSet<>();
         for (Table.Row row : wanted) {
             Table t = row.table;
-            double part = row.rank < SOON ? ORDINARY : row.rank < FILL ? URGENT : row.rank < MUST ? VITAL : ALL;
+            double part = row.rank < SOON ? USUAL : row.rank < FILL ? URGENT : row.rank < MUST ? VITAL : ALL;
             // Heads alone must not fill the channel; where messages are capped, ordinary ones go evenly.
-            boolean may = part > ORDINARY || ordinary || messageCap > 0;
+            boolean may = part > USUAL || ordinary || messageCap > 0;
             boolean rides = may && t.users.stream().allMatch(p -> p.written(now)) || t.users.isEmpty();
             double heads = t.users.size() * head / (linesPerMs * TRUSTED);
-            double pause = part > ORDINARY ? heads : may ? Math.max(2 * heads, cycle) : -NEVER;
+            double pause = part > USUAL ? heads : may ? Math.max(2 * heads, cycle) : -NEVER;
             pause = part == ALL || rides || t.empty() ? 0 : pause;
             if (full.contains(t) || now - orderedAt < pause || !fits(t.users, 1, part)) {
                 full.addAll(part == ALL ? tables : List.of(t));
@@ -359,7 +359,7 @@
                 boolean differs = retry != t.retry[k]
                         || Math.abs(letIn - t.letIn[k]) >= CHANGE / 2 * Math.max(letIn, t.letIn[k]);
                 if ((t.letIn[k] < 0 || (ordinary || strained) && differs)
-                        && fits(t.users, 1, strained ? VITAL : ORDINARY)) {
+                        && fits(t.users, 1, strained ? VITAL : USUAL)) {
                     t.letIn[k] = letIn;
                     t.retry[k] = retry;
                     orders.level(t.number, products[k], letIn, retry);
