--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -36,8 +36,8 @@
     private static final int LAG_TURNS = 3, FIRST_LOOK = 1; // until a level shows; before old orders go
     private static final double LEAST_LEVEL = 0.05, LEAST_ADMITTED = 0.07, RECOVERY = 1.6, UNLIMITED = 1e6;
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5; // load; part of SLA time
-    private static final double USUAL = 0.6, URGENT = 0.75, VITAL = 0.8, ALL = 1; // of its limits
-    private static final double LOOSE = 0.67, TRUSTED = 0.5; // of two, for crowds; of the stated pace
+    private static final double USUAL = 0.6, URGENT = 0.75, VITAL = 0.9, ALL = 1; // of its limits
+    private static final double LOOSE = 0.67, TRUSTED = 0.5; // all but rules, in lines; of the stated pace
     private static final double MUST = 4, FILL = 3, SOON = 2, MOVED = 8; // ranks; the rest by means moved
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
@@ -253,13 +253,13 @@
         return true;
     }
 
-    /** Shuts what left out of the tables that unbound proxies brought along; lifted when listed again. */
+    /** Shuts what left out of tables that unbound proxies brought, or of several tables by one line each. */
     private boolean bars(Orders orders) {
-        List<Proxy> loose = barring.isEmpty() ? List.of()
-                : proxies.values().stream().filter(p -> p.on.size() < wide.size()).toList();
-        barring.removeIf(r -> r.listed() ? !r.barred : r.barred || loose.isEmpty());
+        boolean loose = !barring.isEmpty()
+                && (wide.size() > 1 || proxies.values().stream().anyMatch(p -> p.on.isEmpty()));
+        barring.removeIf(r -> r.listed() ? !r.barred : r.barred || !loose);
         Replica r = barring.peek();
-        if (r == null || !fits(loose, 1, ALL)) {
+        if (r == null || !fits(proxies.values(), 1, ALL)) {
             return false;
         }
         barring.poll();
@@ -314,7 +314,8 @@
             double want = want(row);
             double moved = Math.abs(want - row.sent);
             boolean soon = row.sent > 0 && (want == 0 || young(row.replica, 1) && want < row.sent / 2);
-            double base = thin && want > row.sent ? FILL : !soon ? 0 : row.replica.listed() ? SOON : MUST;
+            double urgency = row.replica.listed() ? SOON : row.replica.barred ? 0 : MUST;
+            double base = thin && want > row.sent ? FILL : soon ? urgency : 0;
             row.rank = Math.min(1, moved / mean / MOVED) + base;
             if (moved > 0 && t.number >= 0 && (base > 0 || moved >= CHANGE * Math.max(want, row.sent))) {
                 wanted.add(row);
@@ -434,7 +435,9 @@
         if (tables.stream().filter(t -> t.rows.containsKey(r)).allMatch(t -> live(t) >= 1
                 + Math.max(1, stay * sum(t.rows.values(), row -> row.replica.listed() ? 1 : 0)))) {
             r.out = true;
-            r.outUntil = now + hold;
+            boolean again = now - r.outUntil < LONGEST_SENTENCE; // what keeps failing earns trust more slowly
+            r.sentence = again ? Math.min(LONGEST_SENTENCE, Math.max(SENTENCE / 4, 2 * r.sentence)) : hold;
+            r.outUntil = now + r.sentence;
             r.answered = 0;
             notes.add("out " + r.id + ": " + why);
         }
@@ -518,9 +521,7 @@
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
         if (!r.out && each == 0 && r.voided >= 2 && share > sick) {
-            boolean again = now - r.outUntil < LONGEST_SENTENCE;
-            r.sentence = again ? Math.min(LONGEST_SENTENCE, r.sentence * 2) : SENTENCE;
-            leaves(r, r.sentence, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
+            leaves(r, SENTENCE, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
         } else if (!r.out && full) {
             leaves(r, 0, STAY_SICK, "load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
         } else if (r.out && !full && now >= r.outUntil && (!probes || r.answered >= 2)) {
@@ -662,7 +663,6 @@
         }
     }
 
-    /** The rate at each proxy that lets in the product's share: those that get little keep all of it. */
     private double rate(Product p) {
         double[] demands = proxies.values().stream().mapToDouble(x -> x.demand[p.index]).sorted().toArray();
         double left = p.level * p.demand;
@@ -720,7 +720,7 @@
         waitingAt = now;
         double receipts = writtenAt == now ? 0 : proxies.size();
         double cost = receipts + sum(to, p -> lines + (p.written(now) ? 0 : head));
-        boolean fits = waiting + cost <= (part <= URGENT ? part * LOOSE : part) * queueCap;
+        boolean fits = waiting + cost <= (part < ALL ? part * LOOSE : part) * queueCap;
         for (Proxy p : to) {
             p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
             fits &= messageCap == 0 || p.written(now) || p.messages.size() + 1 <= part * messageCap;
