--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -43,6 +43,7 @@
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
     private static final double ALL_VOIDED = 0.3, SPARE = 1.5; // at most servers; servers beside the need
     private static final int PART = 3, SHARING = 2; // servers in a part at least, and proxies with little
+    private static final double APART = 500, LONG_GONE = 60_000; // withdrawals; gone, and held by no table
 
     private final SplittableRandom chance;
     private final Product[] products;
@@ -60,18 +61,19 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final List<Table> wide = new ArrayList<>(), tables = new ArrayList<>(); // those, with parts
     private final ArrayDeque<Replica> barring = new ArrayDeque<>(); // what was listed, or left the list
+    private final Set<Replica> again = new HashSet<>(); // to withdraw once more, for proxies that joined since
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
-    private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList;
+    private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList, late, barsWait;
     private boolean holdCold = true; // cold ones get no line: in a jam, all that proxies shun goes there
     private List<Table.Row> wanted; // what waits to be ordered, in turn; null once that may have changed
     private List<Proxy> unbound;
     private double admitted = 1, meanLoad, voidShare;
     private final ArrayDeque<Double> past = new ArrayDeque<>(); // let in of late: reports tell of the oldest
     private int each, laid; // servers in a part, 0 while tables are whole; parts laid so far
-    private double dealtAt = NEVER, quiet = LONGEST_QUIET / 8;
+    private double dealtAt = NEVER, barredAt = NEVER, quiet = LONGEST_QUIET / 8;
     private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER; // lines
-    private final Map<Integer, Double> receipts = new HashMap<>();
+    private final Map<Integer, Moment> receipts = new HashMap<>();
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
     public Choice(SplittableRandom chance, Product[] products, int zones, Admission admission) {
@@ -142,6 +144,7 @@
     private void stage(Replica r, Stage told) {
         barring.add(r);
         boolean serves = softRemoval && r.listed() && r.unanswered == 0 && !r.out;
+        r.goneAt = r.listed() ? now : r.goneAt;
         r.stage = told == Stage.GONE && serves ? Stage.MISSING : told;
     }
 
@@ -176,9 +179,13 @@
         }
     }
 
-    /** Messages leave in order: all that was booked before this one has left. */
+    /** Messages leave in order: all that was booked before has left, and of that moment's as many as say so. */
     public void inForce(int serial) {
-        waiting = Math.min(waiting, booked - receipts.getOrDefault(serial, 0.0));
+        Moment m = receipts.get(serial);
+        if (m != null && m.told < m.messages) {
+            m.told++;
+            waiting = Math.min(waiting, booked - m.before - m.cost * m.told / m.messages);
+        }
     }
 
     public void came(int proxy, int product, int count, double span) {
@@ -192,6 +199,7 @@
         left(id);
         double each = Math.max(0, usual) / products.length;
         proxies.put(id, new Proxy(id, zone, bare, now, each, products.length));
+        late = true;
     }
 
     public void left(int id) {
@@ -220,15 +228,16 @@
             orders.log(notes.poll());
             return true;
         }
-        if (dues(orders) || bars(orders) || clears(orders) || strained && levels(orders)
-                || lines(orders) || binds(orders) || levels(orders)) {
+        if (dues(orders) || bars(orders) || !barsWait && (clears(orders) || strained && levels(orders)
+                || lines(orders) || binds(orders) || levels(orders))) {
             return true;
         }
         ordinary = false;
         if (writtenAt == now) { // what comes in force tells how much of the channel has drained
             writtenAt = NEVER;
             serial = (serial + 1) % NUMBERS;
-            receipts.put(serial, bookedBefore);
+            int messages = (int) sum(proxies.values(), p -> p.written(now) ? 1 : 0);
+            receipts.put(serial, new Moment(bookedBefore, booked - bookedBefore, messages));
             orders.receipt(serial);
             return true;
         }
@@ -255,14 +264,35 @@
 
     /** Shuts what left out of tables that unbound proxies brought, or of several tables by one line each. */
     private boolean bars(Orders orders) {
-        boolean loose = !barring.isEmpty()
-                && (wide.size() > 1 || proxies.values().stream().anyMatch(p -> p.on.isEmpty()));
-        barring.removeIf(r -> r.listed() ? !r.barred : r.barred || !loose);
+        List<Proxy> strangers = barring.isEmpty() && !late ? List.of()
+                : proxies.values().stream().filter(p -> p.on.isEmpty()).toList();
+        barsWait = false;
+        if (barredAt < now && now - barredAt < APART) {
+            return false;
+        }
+        if (late) { // the withdrawals of before never reached those that joined since
+            late = false;
+            again.clear();
+            replicas.values().stream().filter(r -> !r.listed() && now - r.goneAt < LONG_GONE).forEach(again::add);
+            barring.addAll(again);
+        }
+        boolean loose = !barring.isEmpty() && (wide.size() > 1 || !strangers.isEmpty());
+        barring.removeIf(r -> r.listed() ? !r.barred : r.barred && !again.contains(r) || !loose);
         Replica r = barring.peek();
-        if (r == null || !fits(proxies.values(), 1, ALL)) {
+        if (r == null) {
+            return false;
+        }
+        boolean unseen = !r.listed() && r.sent == 0; // in none of our tables: it costs no line there
+        Collection<Proxy> to = unseen ? strangers : proxies.values();
+        // Many go in one message; until there is room for it, nothing else takes that.
+        double many = Math.min(barring.size(), USUAL * queueCap / Math.max(1, to.size()) - head - 1);
+        barsWait = barredAt < now && !room(to, Math.max(1, (int) many), ALL);
+        if (barsWait || !fits(to, 1, ALL)) {
             return false;
         }
+        barredAt = now;
         barring.poll();
+        again.remove(r);
         r.barred = !r.listed();
         orders.withdraw(r, r.barred);
         return true;
@@ -716,22 +746,31 @@
         if (to.isEmpty()) {
             return true;
         }
+        if (!room(to, lines, part)) {
+            return false;
+        }
+        bookedBefore = writtenAt == now ? bookedBefore : booked;
+        writtenAt = now;
+        double cost = cost(to, lines);
+        waiting += cost;
+        booked += cost;
+        to.stream().filter(p -> !p.written(now)).forEach(p -> p.messages.addLast(now));
+        return true;
+    }
+
+    private boolean room(Collection<Proxy> to, int lines, double part) {
         waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
         waitingAt = now;
-        double receipts = writtenAt == now ? 0 : proxies.size();
-        double cost = receipts + sum(to, p -> lines + (p.written(now) ? 0 : head));
-        boolean fits = waiting + cost <= (part < ALL ? part * LOOSE : part) * queueCap;
+        boolean room = waiting + cost(to, lines) <= (part < ALL ? part * LOOSE : part) * queueCap;
         for (Proxy p : to) {
             p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
-            fits &= messageCap == 0 || p.written(now) || p.messages.size() + 1 <= part * messageCap;
+            room &= messageCap == 0 || p.written(now) || p.messages.size() + 1 <= part * messageCap;
         }
-        if (fits) {
-            bookedBefore = writtenAt == now ? bookedBefore : booked;
-            writtenAt = now;
-            waiting += cost;
-            booked += cost;
-            to.stream().filter(p -> !p.written(now)).forEach(p -> p.messages.addLast(now));
-        }
-        return fits;
+        return room;
+    }
+
+    /** A message costs its head and a line for its receipt. */
+    private double cost(Collection<Proxy> to, int lines) {
+        return sum(to, p -> lines + (p.written(now) ? 0 : head + 1));
     }
 }
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -9,6 +9,8 @@
     /** ms on the host's clock; 0 if long past. */
     double startedAt;
     Choice.Stage stage = Choice.Stage.GONE;
+    /** When it was last listed, if it no longer is. */
+    double goneAt = Double.NEGATIVE_INFINITY;
     /** New on the list, or started anew, since the tables were last made to follow it. */
     boolean entered;
 
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -537,4 +537,21 @@
         }
         assertTrue(back > 0 && back < 5, "back in time " + back + " of five times");
     }
+
+    @Test
+    void proxiesThatJoinAfterAWithdrawalGetItAnew() {
+        FakeHost host = FakeHost.large(true, 20, 100);
+        host.run(3, () -> well(host, 20, 0.5, 10));
+        host.change(3, 0, Choice.Stage.GONE);
+        host.run(1, () -> well(host, 20, 0.5, 10));
+        host.orders.clear();
+        for (int id = 100; id < 180; id++) { // another governor died: its proxies hold its tables
+            host.choice.joined(id, 0, 10, false);
+        }
+        host.settle();
+        assertTrue(host.orders.contains("bar 3"), "withdrawn for those that joined");
+        host.change(3, host.now, Choice.Stage.READY);
+        host.run(2, () -> well(host, 20, 0.5, 10));
+        assertTrue(host.orders.contains("lift 3"), "and let back in when it is listed again");
+    }
 }
