--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -61,7 +61,7 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final List<Table> wide = new ArrayList<>(), tables = new ArrayList<>(); // those, with parts
     private final ArrayDeque<Replica> barring = new ArrayDeque<>(); // what was listed, or left the list
-    private final Set<Replica> again = new HashSet<>(); // to withdraw once more, for proxies that joined since
+    private final Set<Replica> again = new HashSet<>(); // to withdraw once more, for late joiners
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
     private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList, late, barsWait;
@@ -73,7 +73,7 @@
     private int each, laid; // servers in a part, 0 while tables are whole; parts laid so far
     private double dealtAt = NEVER, barredAt = NEVER, quiet = LONGEST_QUIET / 8;
     private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER; // lines
-    private final Map<Integer, Moment> receipts = new HashMap<>();
+    private final Map<Integer, Double> receipts = new HashMap<>();
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
     public Choice(SplittableRandom chance, Product[] products, int zones, Admission admission) {
@@ -179,13 +179,9 @@
         }
     }
 
-    /** Messages leave in order: all that was booked before has left, and of that moment's as many as say so. */
+    /** Messages leave in order: all that was booked before this one has left. */
     public void inForce(int serial) {
-        Moment m = receipts.get(serial);
-        if (m != null && m.told < m.messages) {
-            m.told++;
-            waiting = Math.min(waiting, booked - m.before - m.cost * m.told / m.messages);
-        }
+        waiting = Math.min(waiting, booked - receipts.getOrDefault(serial, 0.0));
     }
 
     public void came(int proxy, int product, int count, double span) {
@@ -236,8 +232,7 @@
         if (writtenAt == now) { // what comes in force tells how much of the channel has drained
             writtenAt = NEVER;
             serial = (serial + 1) % NUMBERS;
-            int messages = (int) sum(proxies.values(), p -> p.written(now) ? 1 : 0);
-            receipts.put(serial, new Moment(bookedBefore, booked - bookedBefore, messages));
+            receipts.put(serial, bookedBefore);
             orders.receipt(serial);
             return true;
         }
@@ -264,40 +259,50 @@
 
     /** Shuts what left out of tables that unbound proxies brought, or of several tables by one line each. */
     private boolean bars(Orders orders) {
-        List<Proxy> strangers = barring.isEmpty() && !late ? List.of()
-                : proxies.values().stream().filter(p -> p.on.isEmpty()).toList();
         barsWait = false;
         if (barredAt < now && now - barredAt < APART) {
             return false;
         }
+        List<Proxy> strangers = barring.isEmpty() && !late ? List.of()
+                : proxies.values().stream().filter(p -> p.on.isEmpty()).toList();
         if (late) { // the withdrawals of before never reached those that joined since
             late = false;
             again.clear();
-            replicas.values().stream().filter(r -> !r.listed() && now - r.goneAt < LONG_GONE).forEach(again::add);
+            replicas.values().stream().filter(r -> !r.listed() && now - r.goneAt < LONG_GONE)
+                    .forEach(again::add);
             barring.addAll(again);
         }
         boolean loose = !barring.isEmpty() && (wide.size() > 1 || !strangers.isEmpty());
         barring.removeIf(r -> r.listed() ? !r.barred : r.barred && !again.contains(r) || !loose);
-        Replica r = barring.peek();
+        Replica r = barring.stream().filter(Choice::unseen).findFirst().orElse(barring.peek());
         if (r == null) {
             return false;
         }
-        boolean unseen = !r.listed() && r.sent == 0; // in none of our tables: it costs no line there
-        Collection<Proxy> to = unseen ? strangers : proxies.values();
-        // Many go in one message; until there is room for it, nothing else takes that.
-        double many = Math.min(barring.size(), USUAL * queueCap / Math.max(1, to.size()) - head - 1);
-        barsWait = barredAt < now && !room(to, Math.max(1, (int) many), ALL);
+        Collection<Proxy> to = unseen(r) ? strangers : proxies.values();
+        // Many go in one message; until there is room for it, nothing else takes that. Nor may they use up
+        // a proxy's messages by themselves: past some they go evenly.
+        double together = Math.min(barring.size(), USUAL * queueCap / Math.max(1, to.size()) - head - 1);
+        boolean used = to.stream().anyMatch(p -> p.messages.size() > USUAL * messageCap);
+        if (messageCap > 0 && used && barredAt < now && now - barredAt < cycle) {
+            return false;
+        }
+        barsWait = barredAt < now && !room(to, Math.max(1, (int) together), ALL);
         if (barsWait || !fits(to, 1, ALL)) {
             return false;
         }
         barredAt = now;
-        barring.poll();
+        barring.remove(r);
         again.remove(r);
         r.barred = !r.listed();
         orders.withdraw(r, r.barred);
         return true;
     }
 
+    /** In none of our tables: to shut it out costs no line at the proxies that are on them. */
+    private static boolean unseen(Replica r) {
+        return !r.listed() && r.sent == 0;
+    }
+
     /** The next line to order: removals first, then cuts that can't wait, then what moves most traffic. */
     private boolean lines(Orders orders) {
         if (wanted == null) {
--- /dev/null
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -0,0 +1,106 @@
+package sprucelanding.delivery;
+
+import java.util.ArrayDeque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** One proxy's stream: what the proxy is known to hold, what is under way to it, and what it is still owed. */
+public final class Holder {
+    public final int id;
+    /** Its stream takes changes; else the whole state of a kind each time. */
+    public final boolean deltas;
+    /** What the front needs to reach it. */
+    public final Object stream;
+    /** Versions acknowledged, or told by the proxy when it dialled. */
+    final Map<Name, String> held = new HashMap<>();
+    /** What it refused: never sent again in the same version. */
+    final Map<Name, String> refused = new HashMap<>();
+    /** Names to look at again, with the stamp of the oldest order that touched each. */
+    final Map<Kind, LinkedHashMap<Name, Long>> owed = new EnumMap<>(Kind.class);
+    final TreeMap<Long, Message> open = new TreeMap<>();
+    /** By product, the table it was put on. */
+    final TreeMap<Integer, Integer> binding = new TreeMap<>();
+    /** Tables whose endpoints, and whose lines, it asked for; and whether it asked for clusters and the route. */
+    final Set<Integer> endpoints = new TreeSet<>();
+    final Set<Integer> lines = new TreeSet<>();
+    boolean clusters;
+    boolean route;
+    /** Receipts asked for: serial and the stamp up to which all must be settled. */
+    final ArrayDeque<long[]> receipts = new ArrayDeque<>();
+    /** When messages were sent, oldest first. */
+    final ArrayDeque<Double> sent = new ArrayDeque<>();
+    /** It drains lines that must go before anything else. */
+    boolean urgent;
+    boolean behind;
+    boolean gone;
+    long touched = -1;
+    /** After a refusal, at most so many names go in one message until one gets through. */
+    int atMost = Integer.MAX_VALUE;
+
+    public Holder(int id, boolean deltas, Object stream) {
+        this.id = id;
+        this.deltas = deltas;
+        this.stream = stream;
+        for (Kind kind : Kind.values()) {
+            owed.put(kind, new LinkedHashMap<>());
+        }
+    }
+
+    /** Told by the proxy when it dialled: it holds this. */
+    public void holds(Name name, String version) {
+        held.put(name, version);
+    }
+
+    public boolean bare() {
+        return held.isEmpty();
+    }
+
+    public boolean bound() {
+        return !binding.isEmpty();
+    }
+
+    /** What it acknowledged of a name, or null. */
+    public String version(Name name) {
+        return held.get(name);
+    }
+
+    /** Messages it has not answered. */
+    public int unanswered() {
+        return open.size();
+    }
+
+    boolean owes() {
+        return owed.values().stream().anyMatch(names -> !names.isEmpty());
+    }
+
+    boolean opened(Kind kind) {
+        return open.values().stream().anyMatch(m -> m.kind == kind);
+    }
+
+    /** Whether a name is under way or still owed. */
+    boolean unsettled(Name name) {
+        return owed.get(name.kind()).containsKey(name)
+                || open.values().stream().anyMatch(m -> m.settles.containsKey(name));
+    }
+
+    /** The oldest order that is not settled; none: the largest number there is. */
+    long oldest() {
+        long oldest = Long.MAX_VALUE;
+        for (LinkedHashMap<Name, Long> names : owed.values()) {
+            for (long stamp : names.values()) {
+                oldest = Math.min(oldest, stamp);
+            }
+        }
+        for (Message m : open.values()) {
+            for (long stamp : m.settles.values()) {
+                oldest = Math.min(oldest, stamp);
+            }
+        }
+        return oldest;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/delivery/Message.java
@@ -0,0 +1,42 @@
+package sprucelanding.delivery;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One response to one proxy. Whole: it names all that the proxy should hold of the kind, and what it leaves out is gone;
+ * else it holds changes, and gone lists what is removed.
+ */
+public final class Message {
+    public final long id;
+    public final Holder to;
+    public final Kind kind;
+    public final boolean whole;
+    public final List<Item> items;
+    public final List<Name> gone;
+    /** ms on the host's clock. */
+    public final double sentAt;
+    /** Names it settles, with the stamp of the oldest order for each. */
+    final Map<Name, Long> settles;
+
+    Message(long id, Holder to, Kind kind, boolean whole, List<Item> items, List<Name> gone, double sentAt,
+            Map<Name, Long> settles) {
+        this.id = id;
+        this.to = to;
+        this.kind = kind;
+        this.whole = whole;
+        this.items = List.copyOf(items);
+        this.gone = List.copyOf(gone);
+        this.sentAt = sentAt;
+        this.settles = settles;
+    }
+
+    /** Lines that it changes, as limits count them: a line, a level or a binding each. */
+    public int lines() {
+        int lines = gone.size();
+        for (Item each : items) {
+            lines += Math.max(1, each.lines().size() + each.rules().size());
+        }
+        return lines;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/governor/Core.java
@@ -0,0 +1,30 @@
+package sprucelanding.governor;
+
+import sprucelanding.delivery.Holder;
+import sprucelanding.delivery.Kind;
+import sprucelanding.intake.Report;
+
+/** What a front tells the core, from any thread. False: the core is full and nothing was taken; ask again later. */
+public interface Core {
+    /**
+     * A proxy dialled and said what it holds.
+     *
+     * @param zone its zone's name
+     * @param usual txns a second that it usually gets
+     */
+    boolean dialled(Front front, Holder holder, String zone, double usual);
+
+    boolean left(Holder holder);
+
+    boolean subscribed(Holder holder, Kind kind, int table, boolean on);
+
+    boolean answered(Holder holder, long message, String refusal);
+
+    boolean reported(Report report);
+
+    /** A stable number for a proxy's name; -1 if there are too many names. Safe to call from any thread. */
+    int number(String proxy);
+
+    /** Told once the bytes of a message were handed to the transport; ms on the loop's clock. */
+    void written(sprucelanding.delivery.Message message, double at);
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/governor/Site.java
@@ -0,0 +1,15 @@
+package sprucelanding.governor;
+
+import java.util.List;
+import sprucelanding.roster.Entry;
+
+/** What a front needs to put a resource into words: names of products, and where a replica is. */
+public interface Site {
+    List<String> products();
+
+    /** Null if it was never listed. Safe to call from any thread. */
+    Entry replica(long id);
+
+    /** Whether what is let in is a rate at each proxy; else it is a share. */
+    boolean byRate();
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -0,0 +1,284 @@
+package sprucelanding.loop;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.PriorityQueue;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The loop: select until the next due time, then what is ready, what is due, what was handed over. */
+public final class Loop implements Runnable, AutoCloseable {
+    /** What a selection key carries. */
+    interface Ready {
+        void ready(SelectionKey key) throws IOException;
+    }
+
+    /** A due time that can be called off. */
+    public static final class Timer implements Comparable<Timer> {
+        final double at;
+        final long order;
+        private Runnable what;
+
+        Timer(double at, long order, Runnable what) {
+            this.at = at;
+            this.order = order;
+            this.what = what;
+        }
+
+        public void cancel() {
+            what = null;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Double.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    private static final int MAILBOX = 65_536;
+    private static final int HANDED_AT_ONCE = 4096;
+    private static final int DATAGRAM = 2048;
+
+    private final String name;
+    private final Selector selector;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final ArrayBlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private long order;
+    private volatile boolean closed;
+    private volatile Thread thread;
+    private Runnable afterEach = () -> { };
+
+    public Loop(String name) {
+        this.name = name;
+        try {
+            selector = Selector.open();
+        } catch (IOException e) {
+            throw new UncheckedIOException("no selector for loop " + name, e);
+        }
+    }
+
+    /** Opens a loop and starts its thread. */
+    public static Loop started(String name) {
+        Loop loop = new Loop(name);
+        Thread thread = new Thread(loop, name);
+        thread.setDaemon(true);
+        thread.start();
+        return loop;
+    }
+
+    /** ms with fractions on the machine's monotonic clock, which processes of one machine share. */
+    public static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** What runs after each round, when all that was ready and due is done. */
+    public void afterEach(Runnable what) {
+        afterEach = what;
+    }
+
+    public Timer at(double time, Runnable what) {
+        Timer timer = new Timer(time, order++, what);
+        timers.add(timer);
+        return timer;
+    }
+
+    public Timer in(double ms, Runnable what) {
+        return at(now() + ms, what);
+    }
+
+    /** Runs it again and again, each time that long after the last; it stops with the loop. */
+    public void every(double ms, Runnable what) {
+        in(ms, () -> {
+            what.run();
+            every(ms, what);
+        });
+    }
+
+    /** From other threads; false if the mailbox is full or the loop has ended: then nothing was taken. */
+    public boolean hand(Runnable what) {
+        if (closed || !mailbox.offer(what)) {
+            return false;
+        }
+        if (Thread.currentThread() != thread) {
+            selector.wakeup();
+        }
+        return true;
+    }
+
+    public int port(ServerSocketChannel server) {
+        return server.socket().getLocalPort();
+    }
+
+    /** Accepts connections there, on the loop's thread or before it runs; throws UncheckedIOException. */
+    public ServerSocketChannel listen(InetSocketAddress at, int backlog, Consumer<SocketChannel> accepted) {
+        try {
+            ServerSocketChannel server = ServerSocketChannel.open();
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.bind(at, backlog);
+            server.configureBlocking(false);
+            Ready ready = key -> {
+                for (SocketChannel each = server.accept(); each != null; each = server.accept()) {
+                    accepted.accept(each);
+                }
+            };
+            server.register(selector, SelectionKey.OP_ACCEPT, ready);
+            return server;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot listen at " + at, e);
+        }
+    }
+
+    /** A connection that was accepted; its bytes come to the listener. */
+    public Conn adopt(SocketChannel channel, int mostUnread, Conn.Listener listener) {
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            Conn conn = new Conn(this, channel, mostUnread, listener);
+            conn.key = channel.register(selector, SelectionKey.OP_READ, conn);
+            return conn;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot adopt a connection", e);
+        }
+    }
+
+    /** Dials; the listener hears connected or closed. */
+    public Conn dial(InetSocketAddress to, int mostUnread, Conn.Listener listener) {
+        try {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            Conn conn = new Conn(this, channel, mostUnread, listener);
+            conn.key = channel.register(selector, SelectionKey.OP_CONNECT, conn);
+            try {
+                if (channel.connect(to)) {
+                    in(0, conn::established);
+                }
+            } catch (IOException e) {
+                in(0, () -> conn.end("cannot connect: " + e.getMessage()));
+            }
+            return conn;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot dial " + to, e);
+        }
+    }
+
+    /** Datagrams that come there go to the listener with their sender; longer ones are cut off. */
+    public DatagramChannel datagrams(InetSocketAddress at, BiConsumer<InetSocketAddress, byte[]> came) {
+        try {
+            DatagramChannel channel = DatagramChannel.open();
+            channel.bind(at);
+            channel.configureBlocking(false);
+            ByteBuffer in = ByteBuffer.allocate(DATAGRAM);
+            Ready ready = key -> {
+                in.clear();
+                for (InetSocketAddress from = (InetSocketAddress) channel.receive(in); from != null;
+                        from = (InetSocketAddress) channel.receive(in)) {
+                    in.flip();
+                    byte[] note = new byte[in.remaining()];
+                    in.get(note);
+                    came.accept(from, note);
+                    in.clear();
+                }
+            };
+            channel.register(selector, SelectionKey.OP_READ, ready);
+            return channel;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot take datagrams at " + at, e);
+        }
+    }
+
+    @Override
+    public void run() {
+        thread = Thread.currentThread();
+        while (!closed) {
+            try {
+                round();
+            } catch (ClosedSelectorException e) {
+                break;
+            } catch (IOException e) {
+                LOG.atError().addKeyValue("loop", name).setCause(e).log("the selector failed");
+                break;
+            }
+        }
+        try {
+            for (SelectionKey key : selector.keys()) {
+                key.channel().close();
+            }
+            selector.close();
+        } catch (IOException | ClosedSelectorException e) {
+            LOG.atDebug().addKeyValue("loop", name).setCause(e).log("closing");
+        }
+    }
+
+    private void round() throws IOException {
+        Timer next = timers.peek();
+        double wait = next == null ? 1000 : next.at - now();
+        if (!mailbox.isEmpty() || wait <= 0) {
+            selector.selectNow();
+        } else {
+            selector.select(Math.max(1, (long) wait)); // a whole ms at least: no spinning before a due time
+        }
+        for (SelectionKey key : selector.selectedKeys()) {
+            if (key.isValid()) {
+                guarded(() -> ((Ready) key.attachment()).ready(key));
+            }
+        }
+        selector.selectedKeys().clear();
+        double now = now();
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            Runnable what = timers.poll().what;
+            if (what != null) {
+                guarded(what::run);
+            }
+        }
+        for (int i = 0; i < HANDED_AT_ONCE; i++) {
+            Runnable what = mailbox.poll();
+            if (what == null) {
+                break;
+            }
+            guarded(what::run);
+        }
+        guarded(afterEach::run);
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    /** One peer's failure must not end the loop for all others. */
+    private void guarded(Step step) {
+        try {
+            step.run();
+        } catch (IOException | RuntimeException e) {
+            LOG.atError().addKeyValue("loop", name).setCause(e).log("a step failed");
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        Thread running = thread;
+        if (running != null && running != Thread.currentThread()) {
+            try {
+                running.join(2000);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- a/src/main/java/sprucelanding/Main.java
+++ b/src/main/java/sprucelanding/program/Main.java
@@ -1,4 +1,4 @@
-package sprucelanding;
+package sprucelanding.program;
 
 import sprucelanding.wire.Adapter;
 
