Stand-ins, rule checker, typed records and the xDS front: parts of the running governor

Need: the governor is to be proven on a whole path of sockets against stand-ins of our own.

Change: xDS v3 (ADS delta and state of the world, LRS), replicas, proxies, clients, roster, links and relays, a tape and a judge of the five rules, CUE-like records on an ANTLR grammar. Not wired up yet; nothing starts them.

--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -69,6 +69,18 @@
     public void joined(Holder h) {
         left(h.id);
         holders.put(h.id, h);
+        h.joined = true;
+        ready.add(h);
+    }
+
+    /** The proxy says that it holds a name, written by whatever governor. What is withdrawn meanwhile drains there. */
+    public void holds(Holder h, Name name, String version) {
+        h.held.put(name, version);
+        if (name.kind() == Kind.LINE && catalogue.withdrawn.contains(name.replica())) {
+            owe(h, name);
+            h.urgent = true;
+            urgent.add(h);
+        }
     }
 
     public void left(int id) {
@@ -267,7 +279,7 @@
     private boolean pull(LinkedHashSet<Holder> from, Acts acts) {
         while (!from.isEmpty()) {
             Holder h = from.iterator().next();
-            Message m = next(h);
+            Message m = h.joined && !h.gone ? next(h) : null;
             if (m != null) {
                 acts.send(m);
                 return true;
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -37,8 +37,8 @@
     /** It drains lines that must go before anything else. */
     boolean urgent;
     boolean behind;
+    boolean joined;
     boolean gone;
-    long touched = -1;
     /** After a refusal, at most so many names go in one message until one gets through. */
     int atMost = Integer.MAX_VALUE;
 
@@ -51,13 +51,9 @@
         }
     }
 
-    /** Told by the proxy when it dialled: it holds this. */
-    public void holds(Name name, String version) {
-        held.put(name, version);
-    }
-
-    public boolean bare() {
-        return held.isEmpty();
+    /** Whether a name was acknowledged, by this version or another. */
+    public boolean holds(Name name) {
+        return held.containsKey(name);
     }
 
     public boolean bound() {
--- a/src/main/java/sprucelanding/governor/Core.java
+++ b/src/main/java/sprucelanding/governor/Core.java
@@ -1,23 +1,30 @@
 package sprucelanding.governor;
 
+import java.util.Map;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Kind;
+import sprucelanding.delivery.Message;
+import sprucelanding.delivery.Name;
 import sprucelanding.intake.Report;
 
 /** What a front tells the core, from any thread. False: the core is full and nothing was taken; ask again later. */
 public interface Core {
     /**
-     * A proxy dialled and said what it holds.
+     * A proxy dialled.
      *
+     * @param bare it holds no orders of any governor
      * @param zone its zone's name
      * @param usual txns a second that it usually gets
      */
-    boolean dialled(Front front, Holder holder, String zone, double usual);
+    boolean dialled(Front front, Holder holder, String zone, double usual, boolean bare);
 
     boolean left(Holder holder);
 
     boolean subscribed(Holder holder, Kind kind, int table, boolean on);
 
+    /** It says that it holds these, by version. */
+    boolean holds(Holder holder, Map<Name, String> versions);
+
     boolean answered(Holder holder, long message, String refusal);
 
     boolean reported(Report report);
@@ -26,5 +33,5 @@
     int number(String proxy);
 
     /** Told once the bytes of a message were handed to the transport; ms on the loop's clock. */
-    void written(sprucelanding.delivery.Message message, double at);
+    void written(Message message, double at);
 }
--- a/src/main/java/sprucelanding/governor/Front.java
+++ b/src/main/java/sprucelanding/governor/Front.java
@@ -10,9 +10,6 @@
     /** Takes a message for a proxy of its own; it may hold it back while the proxy does not read. */
     void send(Message message, Site site);
 
-    /** The stream may go on: its first requests were held until now. */
-    void admit(Holder holder);
-
     /** Ends a stream; the proxy is told why. */
     void end(Holder holder, boolean busy, String why);
 
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -29,6 +29,7 @@
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Kind;
 import sprucelanding.delivery.Message;
+import sprucelanding.delivery.Name;
 import sprucelanding.intake.Intake;
 import sprucelanding.intake.Report;
 import sprucelanding.intake.Sums;
@@ -51,8 +52,8 @@
     public record Names(List<String> products, List<String> zones, List<String> kinds) {
     }
 
-    /** How the list comes: where from, and whether it is told unasked. */
-    public record Listing(InetSocketAddress at, boolean pushed, Path kept) {
+    /** How the list comes: where it is told, the own address to dial from (or null), and whether it comes unasked. */
+    public record Listing(InetSocketAddress at, InetSocketAddress from, boolean pushed, Path kept) {
     }
 
     /** Probes: whether they are allowed, and ms until one counts as unanswered. */
@@ -77,6 +78,7 @@
     private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
     private final AtomicInteger nextNumber = new AtomicInteger();
     private final Map<Long, Entry> replicas = new ConcurrentHashMap<>();
+    private final Map<String, Long> ids = new ConcurrentHashMap<>();
     /** Those that dialled, waiting or in, by number. */
     private final Map<Integer, Dialled> dialled = new HashMap<>();
     private final Hand hand = new Hand();
@@ -92,7 +94,7 @@
     private long orders;
     private Thread thread;
 
-    private record Dialled(Front front, Holder holder, String zone, double usual, boolean[] in) {
+    private record Dialled(Front front, Holder holder, String zone, double usual, boolean bare, boolean[] in) {
     }
 
     public Governor(Choice choice, Names names, Listing listing, Probing probing, boolean byRate, Delivery delivery,
@@ -107,7 +109,7 @@
         this.intake = intake;
         this.roll = new Roll(names.zones(), names.kinds());
         this.keep = listing.kept() == null ? null : new Keep(listing.kept());
-        this.link = new RosterLink(loop, listing.at(), new RosterLink.Heard() {
+        this.link = new RosterLink(loop, listing.at(), listing.from(), new RosterLink.Heard() {
             @Override
             public void opened() {
                 roll.opened();
@@ -184,6 +186,7 @@
             choice.listOpens(told.whole(), first);
             for (Entry e : told.entries()) {
                 replicas.put(e.id(), e);
+                ids.put(e.host() + ":" + e.port(), e.id());
                 choice.listed(e.id(), e.zone(), e.kind(), e.weight(),
                         e.startedAt() == 0 ? 0 : e.startedAt() - wallOffset, switch (e.stage()) {
                             case READY -> Choice.Stage.READY;
@@ -210,15 +213,20 @@
     // Fronts: each call becomes a step on the loop.
 
     @Override
-    public boolean dialled(Front front, Holder holder, String zone, double usual) {
+    public boolean dialled(Front front, Holder holder, String zone, double usual, boolean bare) {
         return loop.hand(() -> {
             drop(holder.id);
-            dialled.put(holder.id, new Dialled(front, holder, zone, usual, new boolean[1]));
+            dialled.put(holder.id, new Dialled(front, holder, zone, usual, bare, new boolean[1]));
             admission.clock(Loop.now());
-            admission.dialled(holder.id, holder.bare());
+            admission.dialled(holder.id, bare);
         });
     }
 
+    @Override
+    public boolean holds(Holder holder, Map<Name, String> versions) {
+        return loop.hand(() -> versions.forEach((name, version) -> delivery.holds(holder, name, version)));
+    }
+
     @Override
     public boolean left(Holder holder) {
         return loop.hand(() -> {
@@ -262,7 +270,7 @@
             } else {
                 delivery.refused(holder, message, refusal);
             }
-            if (holder.version(sprucelanding.delivery.Name.ROUTE) != null) {
+            if (holder.holds(Name.ROUTE)) {
                 admission.laid(holder.id);
             }
         });
@@ -270,7 +278,12 @@
 
     @Override
     public boolean reported(Report report) {
-        return loop.hand(() -> intake.report(report));
+        return loop.hand(() -> {
+            Dialled d = dialled.get(report.proxy());
+            if (d != null && d.in[0]) {
+                intake.report(report);
+            }
+        });
     }
 
     @Override
@@ -296,6 +309,11 @@
         return replicas.get(id);
     }
 
+    @Override
+    public long at(String host, int port) {
+        return ids.getOrDefault(host + ":" + port, 0L);
+    }
+
     @Override
     public boolean byRate() {
         return byRate;
@@ -402,7 +420,8 @@
             if (!probing.allowed() || e == null) {
                 does.probed(replica.id, Choice.Answer.NONE, Double.NaN);
             } else {
-                new Probe(loop, replica.id, new InetSocketAddress(e.host(), e.port()), probing.timeout(), does);
+                new Probe(loop, replica.id, new InetSocketAddress(e.host(), e.port()), listing.from(), probing.timeout(),
+                        does);
             }
         }
 
@@ -466,9 +485,8 @@
             Dialled d = dialled.get(proxy);
             d.in[0] = true;
             delivery.joined(d.holder);
-            d.front.admit(d.holder);
             choice.clock(Loop.now());
-            choice.joined(proxy, Math.max(0, names.zones().indexOf(d.zone)), d.usual, d.holder.bare());
+            choice.joined(proxy, Math.max(0, names.zones().indexOf(d.zone)), d.usual, d.bare);
         }
 
         @Override
--- a/src/main/java/sprucelanding/governor/Probe.java
+++ b/src/main/java/sprucelanding/governor/Probe.java
@@ -24,11 +24,11 @@
     private boolean done;
     private boolean connected;
 
-    Probe(Loop loop, long replica, InetSocketAddress at, double timeout, Told told) {
+    Probe(Loop loop, long replica, InetSocketAddress at, InetSocketAddress from, double timeout, Told told) {
         this.replica = replica;
         this.told = told;
         end = loop.in(timeout, () -> done(Choice.Answer.SILENT, Double.NaN));
-        conn = loop.dial(at, UNREAD, this);
+        conn = loop.dial(at, from, UNREAD, this);
     }
 
     @Override
@@ -45,8 +45,24 @@
     private void answer(Http.Message m) {
         Choice.Answer answer = m.status() == 200 ? Choice.Answer.OK
                 : m.status() == 429 || m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR;
-        double util = m.number("x-util", Double.NaN);
-        done(answer, util >= 0 && util <= 1 ? util : Double.NaN);
+        done(answer, util(m.header("endpoint-load-metrics")));
+    }
+
+    /** The share of busy cores in the text form of an ORCA load report; NaN if it tells none. */
+    static double util(String report) {
+        String body = report.startsWith("TEXT ") ? report.substring(5) : "";
+        for (String each : body.split(",")) {
+            String[] pair = each.trim().split("=", 2);
+            if (pair.length == 2 && pair[0].equals("cpu_utilization")) {
+                try {
+                    double util = Double.parseDouble(pair[1]);
+                    return util >= 0 && util <= 1 ? util : Double.NaN;
+                } catch (NumberFormatException e) {
+                    return Double.NaN;
+                }
+            }
+        }
+        return Double.NaN;
     }
 
     @Override
--- a/src/main/java/sprucelanding/governor/RosterLink.java
+++ b/src/main/java/sprucelanding/governor/RosterLink.java
@@ -28,6 +28,7 @@
 
     private final Loop loop;
     private final InetSocketAddress at;
+    private final InetSocketAddress from;
     private final Heard heard;
     private final StringBuilder event = new StringBuilder();
     private final java.io.ByteArrayOutputStream line = new java.io.ByteArrayOutputStream();
@@ -35,7 +36,8 @@
     private double wait = FIRST_WAIT;
     private Conn conn;
 
-    RosterLink(Loop loop, InetSocketAddress at, Heard heard) {
+    RosterLink(Loop loop, InetSocketAddress at, InetSocketAddress from, Heard heard) {
+        this.from = from;
         this.loop = loop;
         this.at = at;
         this.heard = heard;
@@ -52,7 +54,7 @@
                 heard.opened();
             }
         }).streaming(this::piece);
-        conn = loop.dial(at, UNREAD, this);
+        conn = loop.dial(at, from, UNREAD, this);
     }
 
     /** Drops the stream and asks for all anew. */
--- a/src/main/java/sprucelanding/governor/Site.java
+++ b/src/main/java/sprucelanding/governor/Site.java
@@ -10,6 +10,9 @@
     /** Null if it was never listed. Safe to call from any thread. */
     Entry replica(long id);
 
+    /** The replica listed at that address; 0 if none was. Safe to call from any thread. */
+    long at(String host, int port);
+
     /** Whether what is let in is a rate at each proxy; else it is a share. */
     boolean byRate();
 }
--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -155,10 +155,13 @@
         }
     }
 
-    /** Dials; the listener hears connected or closed. */
-    public Conn dial(InetSocketAddress to, int mostUnread, Conn.Listener listener) {
+    /** Dials; the listener hears connected or closed. From: the own address, or null for any. */
+    public Conn dial(InetSocketAddress to, InetSocketAddress from, int mostUnread, Conn.Listener listener) {
         try {
             SocketChannel channel = SocketChannel.open();
+            if (from != null) {
+                channel.bind(from);
+            }
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             Conn conn = new Conn(this, channel, mostUnread, listener);
--- /dev/null
+++ b/src/main/java/sprucelanding/records/Records.java
@@ -0,0 +1,155 @@
+package sprucelanding.records;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The door: a file's records, unified with a definition, as a Java record. Components are matched by name; an optional field
+ * that is not given comes out as null, an empty list, 0 or false.
+ */
+public final class Records {
+    private Records() {
+    }
+
+    /**
+     * Reads a file and binds it.
+     *
+     * @param schema a resource beside the class, with the definitions
+     * @param definition the one that the whole file must meet, such as #Governor
+     * @throws Invalid with all faults found
+     * @throws IOException if the file cannot be read
+     */
+    public static <T extends Record> T read(Path file, String schema, String definition, Class<T> into)
+            throws Invalid, IOException {
+        return parse(file.getFileName().toString(), Files.readString(file), schema, definition, into);
+    }
+
+    /** The same for a text. */
+    public static <T extends Record> T parse(String name, String text, String schema, String definition,
+            Class<T> into) throws Invalid {
+        List<String> faults = new ArrayList<>();
+        Map<String, Value> known = new HashMap<>();
+        new Reader(schema, known, faults).read(resource(schema, into));
+        Value.Rec given = new Reader(name, known, faults).read(text);
+        if (faults.isEmpty()) {
+            Value whole = new Unify(faults).meet(known.get(definition), given, "");
+            if (faults.isEmpty()) {
+                Object bound = new Bind(faults).bind(whole, into, "");
+                if (faults.isEmpty()) {
+                    return into.cast(bound);
+                }
+            }
+        }
+        throw new Invalid(faults);
+    }
+
+    private static String resource(String schema, Class<?> beside) {
+        try (InputStream in = beside.getResourceAsStream(schema)) {
+            if (in == null) {
+                throw new IllegalArgumentException("no resource " + schema + " beside " + beside.getName());
+            }
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static final class Bind {
+        private final List<String> faults;
+
+        Bind(List<String> faults) {
+            this.faults = faults;
+        }
+
+        Object bind(Value v, Type type, String field) {
+            Value chosen = v;
+            while (chosen instanceof Value.Either e && e.preferred != null) {
+                chosen = e.preferred;
+            }
+            Class<?> plain = (Class<?>) (type instanceof ParameterizedType p ? p.getRawType() : type);
+            if (plain == List.class) {
+                return list(chosen, (ParameterizedType) type, field);
+            }
+            if (plain.isRecord()) {
+                return record(chosen, plain, field);
+            }
+            if (!(chosen instanceof Value.Plain p)) {
+                faults.add(chosen.place + ": " + field + ": no value is given; expected " + chosen.text());
+                return null;
+            }
+            if (plain == double.class && p.value instanceof Double) {
+                return p.value;
+            } else if (plain == int.class && p.value instanceof Double d) {
+                return d.intValue();
+            } else if (plain == long.class && p.value instanceof Double d) {
+                return d.longValue();
+            } else if (plain == boolean.class && p.value instanceof Boolean || plain == String.class
+                    && p.value instanceof String) {
+                return p.value;
+            }
+            faults.add(p.place + ": " + field + ": found " + p.text());
+            return null;
+        }
+
+        private Object list(Value v, ParameterizedType type, String field) {
+            List<Object> all = new ArrayList<>();
+            if (v instanceof Value.Items items) {
+                for (int i = 0; i < items.items.size(); i++) {
+                    all.add(bind(items.items.get(i), type.getActualTypeArguments()[0], field + "[" + i + "]"));
+                }
+            } else if (!(v instanceof Value.Each)) {
+                faults.add(v.place + ": " + field + ": expected a list, found " + v.text());
+            }
+            return faults.isEmpty() ? List.copyOf(all) : all;
+        }
+
+        private Object record(Value v, Class<?> type, String field) {
+            if (!(v instanceof Value.Rec rec)) {
+                faults.add(v.place + ": " + field + ": expected a record, found " + v.text());
+                return null;
+            }
+            RecordComponent[] parts = type.getRecordComponents();
+            Object[] values = new Object[parts.length];
+            Class<?>[] types = new Class<?>[parts.length];
+            for (int i = 0; i < parts.length; i++) {
+                String name = parts[i].getName();
+                types[i] = parts[i].getType();
+                Value part = rec.fields.get(name);
+                String full = field.isEmpty() ? name : field + "." + name;
+                boolean preset = part instanceof Value.Either e && e.preferred != null;
+                if (part == null || rec.optional.contains(name) && !preset) {
+                    values[i] = types[i] == List.class ? List.of() : types[i] == boolean.class ? (Object) false
+                            : types[i] == int.class ? (Object) 0 : types[i] == long.class ? (Object) 0L
+                            : types[i] == double.class ? (Object) 0.0 : null;
+                } else {
+                    values[i] = bind(part, parts[i].getGenericType(), full);
+                }
+            }
+            if (!faults.isEmpty()) {
+                return null;
+            }
+            try {
+                var maker = type.getDeclaredConstructor(types);
+                maker.setAccessible(true);
+                return maker.newInstance(values);
+            } catch (InvocationTargetException e) {
+                faults.add(v.place + ": " + field + ": " + e.getCause().getMessage());
+            } catch (ReflectiveOperationException e) {
+                throw new IllegalStateException(type + " cannot be made", e);
+            }
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/rules/Limits.java
@@ -0,0 +1,20 @@
+package sprucelanding.rules;
+
+import java.util.List;
+
+/**
+ * The figures of the rules.
+ *
+ * @param grace ms until a proxy must have stopped sending
+ * @param bare ms that a proxy may be without a line
+ * @param coldFrom share of its capacity at which a replica starts at least
+ * @param warmAfter ms until it is warm
+ * @param tip multiple of what it can do that pushes a cold one over, if brought for fall ms
+ * @param lines that may be unanswered at a governor's proxies
+ * @param messages of one governor to one proxy within span ms; 0: no limit
+ * @param onceOnly by product, whether an effect must not happen twice
+ * @param softRemoval a replica that left the list without draining may still be sent to
+ */
+public record Limits(double grace, double bare, double coldFrom, double warmAfter, double tip, double fall, int lines,
+        int messages, double span, List<Boolean> onceOnly, boolean softRemoval) {
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -0,0 +1,193 @@
+package sprucelanding.xds;
+
+import com.google.protobuf.GeneratedMessageV3;
+import com.google.protobuf.Value;
+import io.envoyproxy.envoy.config.core.v3.Node;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import sprucelanding.delivery.Holder;
+import sprucelanding.delivery.Kind;
+import sprucelanding.delivery.Message;
+import sprucelanding.delivery.Name;
+import sprucelanding.governor.Core;
+import sprucelanding.governor.Site;
+
+/**
+ * One aggregated stream of a proxy, of either form. The next request is read only once the core has taken the one before,
+ * so that a flood waits in the peer's own buffers. What breaks the protocol ends this stream, with the reason, and no other.
+ */
+abstract class Stream<Q, R extends GeneratedMessageV3> implements StreamObserver<Q> {
+    static final int MOST_NAMES = 2000;
+    private static final int LONGEST_NAME = 512;
+
+    final XdsFront front;
+    private final ServerCallStreamObserver<R> out;
+    final boolean deltas;
+    Holder holder;
+    private boolean ended;
+    /** Names asked for, by kind. */
+    private final Map<Kind, Set<Name>> asked = new EnumMap<>(Kind.class);
+
+    Stream(XdsFront front, StreamObserver<R> out, boolean deltas) {
+        this.front = front;
+        this.out = (ServerCallStreamObserver<R>) out;
+        this.deltas = deltas;
+        this.out.disableAutoRequest();
+        this.out.setOnCancelHandler(this::over);
+        this.out.request(1);
+        for (Kind kind : Kind.values()) {
+            asked.put(kind, new HashSet<>());
+        }
+    }
+
+    /** Reads one request; a StatusRuntimeException ends the stream. */
+    abstract void request(Q request);
+
+    abstract R response(Message message, Site site);
+
+    @Override
+    public void onNext(Q request) {
+        try {
+            request(request);
+            out.request(1);
+        } catch (StatusRuntimeException e) {
+            front.refused(holder, e.getStatus());
+            end(e.getStatus());
+        }
+    }
+
+    @Override
+    public void onError(Throwable t) {
+        over();
+    }
+
+    @Override
+    public void onCompleted() {
+        over();
+        front.write(() -> {
+            if (!ended) {
+                ended = true;
+                out.onCompleted();
+            }
+        });
+    }
+
+    private void over() {
+        Holder gone = holder;
+        if (gone != null) {
+            holder = null;
+            taken(() -> front.core().left(gone));
+        }
+    }
+
+    /** Waits until the core has taken it: only this stream's thread, which serves this stream's peers, is held up. */
+    final void taken(BooleanSupplier tell) {
+        front.insist(tell);
+    }
+
+    /** The first request says who dialled. */
+    final void introduce(Node node, boolean bare) {
+        if (holder != null) {
+            return;
+        }
+        if (node.getId().isEmpty() || node.getId().length() > LONGEST_NAME) {
+            throw Status.INVALID_ARGUMENT.withDescription("node.id: expected 1 to 512 characters")
+                    .asRuntimeException();
+        }
+        int number = front.core().number(node.getId());
+        if (number < 0) {
+            throw Status.RESOURCE_EXHAUSTED.withDescription("too many proxies").asRuntimeException();
+        }
+        holder = new Holder(number, deltas, this);
+        Value usual = node.getMetadata().getFieldsOrDefault("txns_per_s", Value.getDefaultInstance());
+        double rate = usual.getNumberValue() >= 0 && usual.getNumberValue() < 1e6 ? usual.getNumberValue() : 0;
+        Holder h = holder;
+        taken(() -> front.core().dialled(front, h, node.getLocality().getZone(), rate, bare));
+    }
+
+    final void ask(Kind kind, List<String> names, boolean on) {
+        Core core = front.core();
+        Holder h = holder;
+        for (String text : names) {
+            if (text.length() > LONGEST_NAME) {
+                throw Status.INVALID_ARGUMENT.withDescription("a resource name of " + text.length() + " characters")
+                        .asRuntimeException();
+            }
+            Name name = text.equals("*") && kind == Kind.CLUSTER ? Name.cluster(0) : Words.name(kind, text);
+            if (name == null || kind == Kind.CLUSTER && !text.equals("*")) {
+                continue; // no such resource: nothing is sent for it
+            }
+            Set<Name> known = asked.get(kind);
+            if (on ? known.add(name) : known.remove(name)) {
+                taken(() -> core.subscribed(h, kind, name.table(), on));
+            }
+            if (known.size() > MOST_NAMES) {
+                throw Status.RESOURCE_EXHAUSTED.withDescription("more than " + MOST_NAMES + " names of one type")
+                        .asRuntimeException();
+            }
+        }
+    }
+
+    final Set<Name> asked(Kind kind) {
+        return asked.get(kind);
+    }
+
+    final Map<Name, String> versions(Kind kind, Map<String, String> told) {
+        if (told.size() > 10 * MOST_NAMES) {
+            throw Status.RESOURCE_EXHAUSTED.withDescription("initial_resource_versions names " + told.size())
+                    .asRuntimeException();
+        }
+        Map<Name, String> known = new HashMap<>();
+        told.forEach((text, version) -> {
+            Name name = Words.name(kind, text);
+            if (name != null) {
+                known.put(name, version);
+            }
+        });
+        return known;
+    }
+
+    static Kind kindOf(String type) {
+        Kind kind = Words.kind(type);
+        if (kind == null) {
+            throw Status.INVALID_ARGUMENT.withDescription("type_url: \""
+                    + type.substring(0, Math.min(type.length(), LONGEST_NAME)) + "\" is not served")
+                    .asRuntimeException();
+        }
+        return kind;
+    }
+
+    static long number(String nonce) {
+        try {
+            return Long.parseLong(nonce);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** On the writing thread. */
+    final void write(Message message, Site site) {
+        if (!ended && !out.isCancelled()) {
+            out.onNext(response(message, site));
+        }
+    }
+
+    final void end(Status status) {
+        over();
+        front.write(() -> {
+            if (!ended) {
+                ended = true;
+                out.onError(status.asRuntimeException());
+            }
+        });
+    }
+}
