--- a/src/main/antlr4/sprucelanding/records/Records.g4
+++ b/src/main/antlr4/sprucelanding/records/Records.g4
@@ -5,7 +5,7 @@
 
 file : field* EOF ;
 
-field : label=(IDENT | DEFINITION | STRING) optional='?'? ':' expr ','? ;
+field : label=(IDENT | DEFINITION | STRING) optional='?'? ':' (nested=field | expr ','?) ;
 
 expr : meet ('|' meet)* ;
 
--- /dev/null
+++ b/src/main/java/sprucelanding/day/GovernorProcess.java
@@ -0,0 +1,125 @@
+package sprucelanding.day;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A governor as a process of its own: started, killed outright, stopped and let go on by signals. */
+final class GovernorProcess {
+    final int number;
+    final int zone;
+    final int port;
+    private final Path config;
+    private final Path log;
+    private Process process;
+
+    GovernorProcess(int number, int zone, int port, Path folder, String station) throws IOException {
+        this.number = number;
+        this.zone = zone;
+        this.port = port;
+        this.config = folder.resolve("governor-" + number + ".cue");
+        this.log = folder.resolve("governor-" + number + ".log");
+        Files.writeString(config, station);
+    }
+
+    void start() {
+        try {
+            String java = ProcessHandle.current().info().command().orElse("java");
+            process = new ProcessBuilder(List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=4", "-cp",
+                    System.getProperty("java.class.path"), "sprucelanding.program.Main", "govern", "--config",
+                    config.toString())).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException("no governor can be started", e);
+        }
+    }
+
+    /** Waits until it listens; throws IOException with its log's end if it does not. */
+    void ready() throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (System.nanoTime() < end && process.isAlive()) {
+            try (Socket s = new Socket()) {
+                s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
+                return;
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        String said = Files.readString(log);
+        throw new IOException("governor " + number + " does not listen: "
+                + said.substring(Math.max(0, said.length() - 2000)));
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                    .redirectErrorStream(true).redirectOutput(new File("/dev/null")).start();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException("no signal can be sent", e);
+        }
+    }
+
+    void stop() throws InterruptedException {
+        if (process != null) {
+            signal("CONT");
+            process.destroy();
+            if (!process.waitFor(3, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    /** ms of CPU so far; 0 if it is not known. */
+    double cpu() {
+        return process == null ? 0 : process.info().totalCpuDuration().map(d -> d.toNanos() / 1e6).orElse(0.0);
+    }
+
+    /** MiB that it held at the most; 0 if it is not known. */
+    double memory() {
+        try (var lines = Files.lines(Path.of("/proc/" + process.pid() + "/status"))) {
+            return lines.filter(l -> l.startsWith("VmHWM")).findFirst()
+                    .map(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024).orElse(0.0);
+        } catch (IOException | RuntimeException e) {
+            return 0;
+        }
+    }
+
+    /** What it logged as it stopped; empty if it was killed. */
+    Map<String, String> figures(ObjectMapper json) {
+        Map<String, String> said = new LinkedHashMap<>();
+        try (var lines = Files.lines(log)) {
+            String last = lines.filter(l -> l.contains("\"message\":\"stops\"")).reduce((a, b) -> b).orElse("{}");
+            json.readTree(last).path("kvpList").forEach(pair -> pair.fields().forEachRemaining(
+                    e -> said.put(e.getKey(), e.getValue().asText())));
+        } catch (IOException e) {
+            said.put("unreadable", e.getMessage());
+        }
+        return said;
+    }
+
+    /** Lines of its log that hold a text. */
+    long logged(String text) {
+        try (var lines = Files.lines(log)) {
+            return lines.filter(l -> l.contains(text)).count();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+}
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -91,6 +91,8 @@
     private double moment;
     private boolean ordered;
     private boolean watching;
+    /** None was told yet, nor kept from before. */
+    private boolean firstList;
     private long orders;
     private Thread thread;
 
@@ -118,7 +120,7 @@
 
             @Override
             public void told(String data) {
-                listTold(data, false);
+                firstList &= !listTold(data, firstList);
             }
 
             @Override
@@ -153,10 +155,7 @@
         loop.afterEach(this::settle);
         String last = keep == null ? null : keep.read();
         choice.clock(Loop.now());
-        if (last == null || !listTold(last, true)) {
-            choice.listOpens(true, true);
-            choice.listCloses();
-        }
+        firstList = last == null || !listTold(last, true);
         if (listing.pushed()) {
             watching = true;
             link.open();
@@ -195,15 +194,15 @@
                         });
             }
             choice.listCloses();
-            if (keep != null && !first) {
+            if (keep != null) {
                 keep.put(roll.text());
             }
-            log(first ? "begins with the list last kept" : "list told").addKeyValue("version", told.version())
+            log(first ? "begins with a list" : "list told").addKeyValue("version", told.version())
                     .addKeyValue("whole", told.whole()).addKeyValue("entries", told.entries().size()).log();
             return true;
         } catch (Roll.Refused e) {
             LOG.atWarn().setMessage("a list is refused").addKeyValue("why", e.getMessage()).log();
-            if (!first) {
+            if (watching) {
                 link.again(); // the roster then tells all of it
             }
             return false;
--- /dev/null
+++ b/src/main/java/sprucelanding/program/Build.java
@@ -0,0 +1,97 @@
+package sprucelanding.program;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.BitSet;
+import java.util.List;
+import sprucelanding.Choice;
+import sprucelanding.Product;
+import sprucelanding.delivery.Admission;
+import sprucelanding.delivery.Delivery;
+import sprucelanding.governor.Governor;
+import sprucelanding.intake.Intake;
+import sprucelanding.xds.XdsFront;
+
+/** Puts a governor together from what it is told. */
+public final class Build {
+    /** A governor and its xDS front, not started. */
+    public record Built(Governor governor, XdsFront xds) {
+    }
+
+    private Build() {
+    }
+
+    /** Throws IllegalArgumentException, which names the field, for what the records' types cannot say. */
+    public static Built build(Station s) {
+        Product[] products = new Product[s.products().size()];
+        for (int k = 0; k < products.length; k++) {
+            Station.Ware w = s.products().get(k);
+            products[k] = new Product(k, w.retry().equals("safe"), w.revenue(), w.sla(),
+                    positions(w.kinds(), s.kinds(), "products[" + k + "].kinds"),
+                    positions(w.zones(), s.zones(), "products[" + k + "].zones"), w.homeOnly());
+        }
+        boolean byRate = s.admits().equals("rate");
+        Choice choice = Governor.choice(s.seed(), products, s.zones().size(),
+                byRate ? Choice.Admission.RATE : Choice.Admission.SHARE);
+        Station.Channel c = s.channel();
+        choice.roll(s.roster().pushed(), s.roster().softRemoval(), s.roster().coldFrom(), s.roster().warmAfter());
+        choice.channel(c.lines() / 1000, c.head(), c.most(), c.messages() == 0 ? 0 : Math.max(1, c.messages() / WIRE_MESSAGES),
+                c.span());
+        choice.reports(s.probes().allowed(), s.reports().every());
+        Governor governor = new Governor(choice,
+                new Governor.Names(s.products().stream().map(Station.Ware::name).toList(), s.zones(), s.kinds()),
+                new Governor.Listing(address(s.roster().at(), "roster.at"),
+                        s.roster().from() == null ? null : new InetSocketAddress(s.roster().from(), 0),
+                        s.roster().pushed(), s.roster().keep() == null ? null : Path.of(s.roster().keep())),
+                new Governor.Probing(s.probes().allowed(), s.probes().timeout()), byRate,
+                new Delivery(c.messages(), c.span(), c.leftBehind(), c.patience()),
+                new Admission(s.streams().atOnce(), s.streams().most(), s.streams().turn()),
+                new Intake(products.length, s.reports().every(), s.reports().lines()));
+        if (s.peers().at() != null) {
+            governor.peers(address(s.peers().at(), "peers.at"),
+                    s.peers().others().stream().map(p -> address(p, "peers.others")).toList());
+        }
+        XdsFront xds = new XdsFront(governor, governor, s.name(), address(s.xds().at(), "xds.at"), s.xds().largest(),
+                s.reports().every());
+        governor.front(xds);
+        return new Built(governor, xds);
+    }
+
+    /** A moment's orders become two responses at most on an ordinary path: lines, and the route. */
+    private static final int WIRE_MESSAGES = 2;
+
+    /** All of a station but its sockets; throws IllegalArgumentException with the field. */
+    static void check(Station s) {
+        for (int k = 0; k < s.products().size(); k++) {
+            positions(s.products().get(k).kinds(), s.kinds(), "products[" + k + "].kinds");
+            positions(s.products().get(k).zones(), s.zones(), "products[" + k + "].zones");
+        }
+        address(s.xds().at(), "xds.at");
+        address(s.roster().at(), "roster.at");
+    }
+
+    private static BitSet positions(List<String> names, List<String> known, String field) {
+        BitSet set = new BitSet();
+        for (String name : names) {
+            if (!known.contains(name)) {
+                throw new IllegalArgumentException(field + ": \"" + name + "\" is none of " + known);
+            }
+            set.set(known.indexOf(name));
+        }
+        return set;
+    }
+
+    /** host:port; throws IllegalArgumentException with the field's name. */
+    static InetSocketAddress address(String text, String field) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= 65_535) {
+                return new InetSocketAddress(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // said below
+        }
+        throw new IllegalArgumentException(field + ": \"" + text + "\" is no host:port");
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -0,0 +1,148 @@
+package sprucelanding.program;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import sprucelanding.day.Day;
+import sprucelanding.day.Measure;
+import sprucelanding.day.Script;
+import sprucelanding.records.Invalid;
+import sprucelanding.records.Records;
+
+/** The sub-commands. Exit codes: 0 well, 1 it failed or a rule broke, 2 what was given cannot be used. */
+@Command(name = "sprucelanding", mixinStandardHelpOptions = true, version = "0.2.0",
+        description = "Publishes routing tables to a fleet of plain proxies.",
+        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class,
+                Commands.Bench.class})
+final class Commands {
+    private Commands() {
+    }
+
+    static int run(String[] args) {
+        return new CommandLine(new Commands()).setExecutionExceptionHandler((e, line, parsed) -> {
+            if (e instanceof Invalid || e instanceof IOException || e instanceof IllegalArgumentException) {
+                line.getErr().println(e instanceof IOException ? e.toString() : e.getMessage());
+                return 2;
+            }
+            throw e;
+        }).execute(args);
+    }
+
+    @Command(name = "govern", mixinStandardHelpOptions = true, description = "Runs a governor until it is stopped.")
+    static final class Govern implements Callable<Integer> {
+        private static final Logger LOG = LoggerFactory.getLogger("sprucelanding.govern");
+        @Option(names = "--config", required = true, description = "its station, a file of records")
+        private Path config;
+
+        @Override
+        public Integer call() throws Exception {
+            Station station = Records.read(config, Station.SCHEMA, Station.DEFINITION, Station.class);
+            Build.Built built = Build.build(station);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                Histogram written = built.governor().toWritten();
+                Histogram acked = built.governor().toAck();
+                LOG.atInfo().setMessage("stops").addKeyValue("orders", built.governor().orders())
+                        .addKeyValue("messages", written.getTotalCount())
+                        .addKeyValue("writtenUsP50", written.getValueAtPercentile(50))
+                        .addKeyValue("writtenUsP99", written.getValueAtPercentile(99))
+                        .addKeyValue("writtenUsMax", written.getMaxValue())
+                        .addKeyValue("ackedUsP50", acked.getValueAtPercentile(50))
+                        .addKeyValue("ackedUsP99", acked.getValueAtPercentile(99))
+                        .addKeyValue("ackedUsMax", acked.getMaxValue()).log();
+                built.governor().close();
+            }));
+            built.governor().start(station.reports().every());
+            built.xds().start();
+            Thread.currentThread().join();
+            return 0;
+        }
+    }
+
+    @Command(name = "day", mixinStandardHelpOptions = true,
+            description = "Plays a scripted day on loopback, simulated fleet and all, and judges the rules.")
+    static final class Play implements Callable<Integer> {
+        @Parameters(paramLabel = "SCRIPT", description = "the day, a file of records")
+        private Path script;
+        @Option(names = "--report", description = "write the figures there too, as JSON")
+        private Path report;
+        @Option(names = "--seconds", description = "play so many seconds only")
+        private double seconds;
+        @Option(names = "--tables", description = "whose tables: ${COMPLETION-CANDIDATES} (default: governors)",
+                defaultValue = "governors")
+        private Day.Tables tables;
+        @Option(names = "--logs", description = "keep the governors' logs in this folder")
+        private Path logs;
+
+        @Override
+        public Integer call() throws Exception {
+            Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
+            Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, logs).play();
+            System.out.print(outcome.table());
+            if (report != null) {
+                outcome.write(report);
+            }
+            return outcome.kept() ? 0 : 1;
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Checks files of records.")
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", arity = "1..*", description = "stations or days")
+        private Path[] files;
+
+        @Override
+        public Integer call() throws Exception {
+            int faults = 0;
+            for (Path file : files) {
+                try {
+                    if (java.nio.file.Files.readString(file).contains("station:")
+                            || !java.nio.file.Files.readString(file).contains("lasts:")) {
+                        Build.check(Records.read(file, Station.SCHEMA, Station.DEFINITION, Station.class));
+                    } else {
+                        Records.read(file, Script.SCHEMA, Script.DEFINITION, Script.class).check();
+                    }
+                    System.out.println(file + ": well");
+                } catch (Invalid | IllegalArgumentException e) {
+                    faults++;
+                    System.out.println(e.getMessage());
+                }
+            }
+            return faults == 0 ? 0 : 2;
+        }
+    }
+
+    @Command(name = "measure", mixinStandardHelpOptions = true,
+            description = "Measures a governor at a size: from decision to bytes written and to acknowledgement.")
+    static final class Gauge implements Callable<Integer> {
+        @Option(names = "--proxies", defaultValue = "209")
+        private int proxies;
+        @Option(names = "--replicas", defaultValue = "97")
+        private int replicas;
+        @Option(names = "--seconds", defaultValue = "20")
+        private double seconds;
+        @Option(names = "--slow", description = "so many proxies read nothing", defaultValue = "0")
+        private int slow;
+
+        @Override
+        public Integer call() throws Exception {
+            System.out.print(new Measure(proxies, replicas, seconds * 1000, slow).run());
+            return 0;
+        }
+    }
+
+    /** Only named here for the help: Main starts it without this class. */
+    @Command(name = "adapter", description = "The decisions on the simulator's wire, standard input and output.")
+    static final class Bench implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return new sprucelanding.wire.Adapter(System.in, System.out, System.err).run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/program/Station.java
@@ -0,0 +1,39 @@
+package sprucelanding.program;
+
+import java.util.List;
+
+/** What a governor is told at its start; station.cue says what each is, with its bounds. Times in ms. */
+public record Station(String name, long seed, List<String> zones, List<String> kinds, List<Ware> products,
+        String admits, Berth xds, Listed roster, Channel channel, Streams streams, Reports reports, Probes probes,
+        Peers peers) {
+    public record Ware(String name, String retry, double sla, double revenue, List<String> kinds, List<String> zones,
+            boolean homeOnly) {
+    }
+
+    public record Berth(String at, int largest) {
+    }
+
+    public record Listed(String at, String from, boolean pushed, boolean softRemoval, double coldFrom,
+            double warmAfter, String keep) {
+    }
+
+    public record Channel(double lines, double head, double most, int messages, double span, double leftBehind,
+            double patience) {
+    }
+
+    public record Streams(int atOnce, int most, double turn) {
+    }
+
+    public record Reports(double every, double lines) {
+    }
+
+    public record Probes(boolean allowed, double timeout) {
+    }
+
+    public record Peers(String at, List<String> others) {
+    }
+
+    /** The record's file must meet this definition. */
+    static final String SCHEMA = "station.cue";
+    static final String DEFINITION = "#Station";
+}
--- a/src/main/java/sprucelanding/records/Reader.java
+++ b/src/main/java/sprucelanding/records/Reader.java
@@ -108,7 +108,7 @@
             return new Value.Rec(from, false);
         }
         following.add(name);
-        Value made = value(f.expr(), name.startsWith("#"));
+        Value made = of(f, name.startsWith("#"));
         following.remove(name);
         if (name.startsWith("#")) {
             known.put(name, made);
@@ -118,7 +118,7 @@
 
     private void put(Value.Rec to, RecordsParser.FieldContext f) {
         String name = label(f);
-        Value v = value(f.expr(), false);
+        Value v = of(f, false);
         Value before = to.fields.get(name);
         to.fields.put(name, before == null ? v : new Unify(faults).meet(before, v, name));
         if (f.optional != null) {
@@ -126,6 +126,16 @@
         }
     }
 
+    /** A field's value; a: b: c is short for a: {b: c}. */
+    private Value of(RecordsParser.FieldContext f, boolean closed) {
+        if (f.nested == null) {
+            return value(f.expr(), closed);
+        }
+        Value.Rec rec = new Value.Rec(place(f.nested), false);
+        put(rec, f.nested);
+        return rec;
+    }
+
     private Value value(RecordsParser.ExprContext e, boolean closed) {
         List<Value> all = new ArrayList<>();
         Value preferred = null;
--- a/src/main/java/sprucelanding/records/Unify.java
+++ b/src/main/java/sprucelanding/records/Unify.java
@@ -18,6 +18,11 @@
         if (b instanceof Value.Either e) {
             return either(e, a, field);
         }
+        if (constraint(a) && constraint(b)) {
+            List<Value> all = new ArrayList<>(parts(a));
+            all.addAll(parts(b));
+            return new Value.Both(b.place, all);
+        }
         if (a instanceof Value.Both both) {
             Value v = b;
             for (Value each : both.all) {
@@ -25,9 +30,6 @@
             }
             return v;
         }
-        if (b instanceof Value.Both) {
-            return meet(b, a, field);
-        }
         if (a instanceof Value.Plain x && b instanceof Value.Plain y) {
             return Value.same(x, y) ? a : conflict(a, b, field, x.text() + " and " + y.text() + " differ");
         }
@@ -39,13 +41,8 @@
             boolean met = v.value instanceof Double d && bound.met(d);
             return met ? b : conflict(b, a, field, "expected " + bound.text() + ", found " + v.text());
         }
-        if (b instanceof Value.Type || b instanceof Value.Bound) {
-            if (a instanceof Value.Plain) {
-                return meet(b, a, field);
-            }
-            if (a instanceof Value.Type || a instanceof Value.Bound) {
-                return new Value.Both(b.place, List.of(a, b));
-            }
+        if (constraint(b) && a instanceof Value.Plain) {
+            return meet(b, a, field);
         }
         if (a instanceof Value.Rec x && b instanceof Value.Rec y) {
             return records(x, y, field);
@@ -73,6 +70,14 @@
         return conflict(b, a, field, "expected " + a.text() + ", found " + b.text());
     }
 
+    private static boolean constraint(Value v) {
+        return v instanceof Value.Type || v instanceof Value.Bound || v instanceof Value.Both;
+    }
+
+    private static List<Value> parts(Value v) {
+        return v instanceof Value.Both both ? both.all : List.of(v);
+    }
+
     private Value conflict(Value at, Value other, String field, String what) {
         faults.add(at.place + ": " + (field.isEmpty() ? "" : field + ": ") + what + " (" + other.place + ")");
         return at;
--- a/src/main/java/sprucelanding/standin/Links.java
+++ b/src/main/java/sprucelanding/standin/Links.java
@@ -30,6 +30,11 @@
         return a == b || !cut.contains(a) && !cut.contains(b);
     }
 
+    /** The zone of an address; -1 if it is no party's. */
+    public int zone(InetAddress from) {
+        return zones.getOrDefault(from, -1);
+    }
+
     /** Whether what comes from an address reaches a zone; addresses of no party reach all. */
     public boolean open(InetAddress from, int zone) {
         Integer other = zones.get(from);
--- a/src/main/java/sprucelanding/standin/ReplicaStand.java
+++ b/src/main/java/sprucelanding/standin/ReplicaStand.java
@@ -88,6 +88,8 @@
     private double fails;
     private double taken;
     private boolean paused;
+    private int deafTo = -1;
+    private int fewer;
     private long served;
 
     public ReplicaStand(Loop loop, long id, int zone, int kind, InetSocketAddress at, Machine machine,
@@ -155,6 +157,7 @@
         fails = 0;
         taken = 0;
         paused = false;
+        deafTo = -1;
     }
 
     /** It takes txns and answers none. */
@@ -189,6 +192,16 @@
         plan();
     }
 
+    /** It hears nothing from this zone, though no other party of the zone is cut off; -1: it hears all. */
+    public void deafTo(int deaf) {
+        deafTo = deaf;
+    }
+
+    /** It accepts so many connections at most; 0: as many as its machine says. */
+    public void connections(int most) {
+        fewer = most;
+    }
+
     private void accepted(SocketChannel channel) {
         InetAddress from = channel.socket().getInetAddress();
         Conn conn = loop.adopt(channel, UNREAD, new Conn.Listener() {
@@ -198,7 +211,7 @@
             @Override
             public void received(Conn c, ByteBuffer in) throws IOException {
                 own = c;
-                if (links.open(from, zone)) { // across a cut nothing arrives, and nobody says so
+                if (links.open(from, zone) && (deafTo < 0 || links.zone(from) != deafTo)) { // across a cut nothing arrives, and nobody says so
                     http.received(in);
                 }
             }
@@ -209,7 +222,7 @@
             }
         });
         conns.add(conn);
-        if (conns.size() > machine.connections) {
+        if (conns.size() > (fewer > 0 ? fewer : machine.connections)) {
             conn.reset();
         }
     }
--- a/src/main/java/sprucelanding/standin/XdsPeer.java
+++ b/src/main/java/sprucelanding/standin/XdsPeer.java
@@ -174,7 +174,7 @@
 
     void readsNothing(boolean on) {
         readsNothing = on;
-        if (!on && out != null) {
+        if (!on && out != null && unread > 0) {
             out.request(unread);
             unread = 0;
         }
--- a/src/main/java/sprucelanding/xds/Loads.java
+++ b/src/main/java/sprucelanding/xds/Loads.java
@@ -43,8 +43,14 @@
     @Override
     public StreamObserver<LoadStatsRequest> streamLoadStats(StreamObserver<LoadStatsResponse> response) {
         ServerCallStreamObserver<LoadStatsResponse> out = (ServerCallStreamObserver<LoadStatsResponse>) response;
+        boolean[] begun = new boolean[1];
         out.disableAutoRequest();
-        out.request(1);
+        out.setOnReadyHandler(() -> {
+            if (!begun[0]) {
+                begun[0] = true;
+                out.request(1);
+            }
+        });
         return new StreamObserver<>() {
             private int proxy = -1;
 
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -33,6 +33,7 @@
     private final ServerCallStreamObserver<R> out;
     final boolean deltas;
     Holder holder;
+    private boolean begun;
     private boolean ended;
     /** Names asked for, by kind. */
     private final Map<Kind, Set<Name>> asked = new EnumMap<>(Kind.class);
@@ -43,7 +44,12 @@
         this.deltas = deltas;
         this.out.disableAutoRequest();
         this.out.setOnCancelHandler(this::over);
-        this.out.request(1);
+        this.out.setOnReadyHandler(() -> { // not before the transport can hand the request on
+            if (!begun) {
+                begun = true;
+                this.out.request(1);
+            }
+        });
         for (Kind kind : Kind.values()) {
             asked.put(kind, new HashSet<>());
         }
@@ -62,6 +68,9 @@
         } catch (StatusRuntimeException e) {
             front.refused(holder, e.getStatus());
             end(e.getStatus());
+        } catch (RuntimeException e) { // a fault of ours: this stream ends, the proxy dials again
+            front.refused(holder, Status.INTERNAL.withDescription(e.toString()).withCause(e));
+            end(Status.INTERNAL);
         }
     }
 
--- a/src/main/java/sprucelanding/xds/XdsFront.java
+++ b/src/main/java/sprucelanding/xds/XdsFront.java
@@ -135,7 +135,7 @@
 
     void refused(Holder holder, Status status) {
         LOG.atWarn().setMessage("a stream is refused").addKeyValue("proxy", holder == null ? -1 : holder.id)
-                .addKeyValue("code", status.getCode()).addKeyValue("why", status.getDescription()).log();
+                .addKeyValue("code", status.getCode()).addKeyValue("why", status.getDescription()).setCause(status.getCause()).log();
     }
 
     /** False if too much waits to be written. */
--- /dev/null
+++ b/src/main/resources/sprucelanding/program/station.cue
@@ -0,0 +1,62 @@
+// What a governor is told at its start.
+
+#Address: string
+
+#Product: {
+	name: string
+	retry: "safe" | "once" // safe: may run twice; once: never
+	sla: time & >0
+	revenue: number & >0
+	kinds?: [...string] // none: all
+	zones?: [...string]
+	homeOnly: bool | *false // only replicas of the proxy's own zone
+}
+
+#Station: {
+	name: string
+	seed: int | *1
+	zones: [...string]
+	kinds: [...string]
+	products: [...#Product]
+	admits: "share" | "rate" | *"share"
+
+	xds: {
+		at: #Address // host:port
+		largest: int & >=1024 & <=64000000 | *1048576 // bytes of a message from a proxy
+	}
+	roster: {
+		at: #Address
+		from?: string // own address to dial from
+		pushed: bool | *true
+		softRemoval: bool | *false // dropped from the list alone does not bind
+		coldFrom: share & >0 & <=1 | *20%
+		warmAfter: time & >=0 | *18s
+		keep?: string // file for the last list
+	}
+	channel: {
+		lines: rate & >0 | *3000/s
+		head: number & >=0 | *6
+		most: int & >=1 | *5000 // lines that may wait
+		messages: int & >=0 | *0 // to one proxy within span; 0: no limit
+		span: time & >0 | *10s
+		leftBehind: time & >0 | *3s // unanswered, until a proxy counts as behind
+		patience: time & >0 | *15s // unanswered, until its stream is cut
+	}
+	streams: {
+		atOnce: int & >=1 | *64 // being laid at a time
+		most: int & >=1 | *4096
+		turn: time & >0 | *10s // waited for, until a stream is turned away
+	}
+	reports: {
+		every: time & >=50 | *1s
+		lines: rate & >0 | *1500/s
+	}
+	probes: {
+		allowed: bool | *true
+		timeout: time & >0 | *400ms
+	}
+	peers: {
+		at?: #Address
+		others: [...#Address]
+	}
+}
