Messages are put into words once for all proxies; the channel rule judged at the stated pace

Need: a line changed at 209 proxies is 209 messages, and each was built anew; the checker counted unanswered lines, which says nothing of a channel.

Change: items are shared and keep their words, two writing threads; removals left unanswered for 60% of the grace cut the stream; the judge runs a virtual channel of the stated pace on what proxies read; a line of figures every 10 s.

--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -231,8 +231,8 @@
                 + "warmAfter: %.0fms, keep: \"%s\"}%n", rosterPort, from.getHostAddress(),
                 script.replicas().coldFrom(), script.replicas().warmAfter(), folder.resolve("list-" + g + ".json")));
         text.append(String.format(Locale.ROOT,
-                "channel: {lines: %.0f/s, head: %.1f, most: %d, messages: %d, span: %.0fms}%n", c.lines(), c.head(),
-                c.most(), c.messages(), c.span()));
+                "channel: {lines: %.0f/s, head: %.1f, most: %d, messages: %d, span: %.0fms, grace: %.0fms}%n",
+                c.lines(), c.head(), c.most(), c.messages(), c.span(), script.rules().grace()));
         text.append("peers: {at: \"127.0.0.1:").append(peers.get(g)).append("\", others: [");
         for (int other = 0; other < peers.size(); other++) {
             text.append(other == g ? "" : "\"127.0.0.1:" + peers.get(other) + "\", ");
@@ -465,7 +465,8 @@
         List<Boolean> once = script.products().stream().map(w -> w.retry().equals("once")).toList();
         Limits limits = new Limits(script.rules().grace(), script.rules().bare(), script.replicas().coldFrom(),
                 script.replicas().warmAfter(), script.rules().tip(), script.rules().fall(),
-                Math.max(1, script.governors().most()), script.governors().messages(), script.governors().span(), once,
+                Math.max(1, script.governors().most()), script.governors().lines() / 1000, script.governors().head(),
+                script.governors().messages(), script.governors().span(), once,
                 false);
         List<Seen> seen = tape.inOrder();
         List<Verdict> verdicts = Judge.judge(seen, limits);
--- a/src/main/java/sprucelanding/day/Figures.java
+++ b/src/main/java/sprucelanding/day/Figures.java
@@ -90,8 +90,7 @@
         line(text, "governors' CPU %.0f ms a second in all, the largest took %.0f MiB", cpu / lasts * 1000, memory);
         ArrayNode own = root.putArray("governors");
         for (GovernorProcess g : governors) { // its own word, for its speed only: no verdict rests on it
-            Map<String, String> said = g.figures(json);
-            if (!said.isEmpty()) {
+            for (Map<String, String> said : g.figures(json)) {
                 line(text, "governor %d: %s", g.number, said);
                 ObjectNode node = own.addObject().put("governor", g.number);
                 said.forEach(node::put);
--- a/src/main/java/sprucelanding/day/GovernorProcess.java
+++ b/src/main/java/sprucelanding/day/GovernorProcess.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -101,17 +102,20 @@
         }
     }
 
-    /** What it logged as it stopped; empty if it was killed. */
-    Map<String, String> figures(ObjectMapper json) {
-        Map<String, String> said = new LinkedHashMap<>();
+    /** The lines of figures that it logged, oldest first. */
+    List<Map<String, String>> figures(ObjectMapper json) {
+        List<Map<String, String>> all = new ArrayList<>();
         try (var lines = Files.lines(log)) {
-            String last = lines.filter(l -> l.contains("\"message\":\"stops\"")).reduce((a, b) -> b).orElse("{}");
-            json.readTree(last).path("kvpList").forEach(pair -> pair.fields().forEachRemaining(
-                    e -> said.put(e.getKey(), e.getValue().asText())));
+            for (String line : lines.filter(l -> l.contains("\"message\":\"figures\"")).toList()) {
+                Map<String, String> said = new LinkedHashMap<>();
+                json.readTree(line).path("kvpList").forEach(pair -> pair.fields().forEachRemaining(
+                        e -> said.put(e.getKey(), e.getValue().asText())));
+                all.add(said);
+            }
         } catch (IOException e) {
-            said.put("unreadable", e.getMessage());
+            all.add(Map.of("unreadable", String.valueOf(e.getMessage())));
         }
-        return said;
+        return all;
     }
 
     /** Lines of its log that hold a text. */
--- a/src/main/java/sprucelanding/delivery/Catalogue.java
+++ b/src/main/java/sprucelanding/delivery/Catalogue.java
@@ -11,7 +11,11 @@
 final class Catalogue {
     static final class Sheet {
         final int number;
-        final Map<Long, Integer> lines = new TreeMap<>();
+        final Map<Long, Item> lines = new TreeMap<>();
+        /** The same, for proxies that hold one and must let it drain. */
+        final Map<Long, Item> draining = new TreeMap<>();
+        /** All that are not withdrawn, for whole-state streams; null once that may have changed. */
+        Item whole;
         /** By product: what is let in, and the retry mode. */
         final Map<Integer, double[]> levels = new TreeMap<>();
 
@@ -33,20 +37,58 @@
     }
 
     /** The line as a proxy on this table should hold it; null for none. A withdrawn one drains where it is held. */
-    Item.Line line(int table, long replica, boolean held) {
-        Integer weight = sheet(table).lines.get(replica);
-        boolean out = withdrawn.contains(replica);
-        return weight == null || out && !held ? null : new Item.Line(replica, weight, out);
+    Item line(Name name, boolean held) {
+        Sheet sheet = sheet(name.table());
+        Item line = sheet.lines.get(name.replica());
+        if (line == null || !withdrawn.contains(name.replica())) {
+            return line;
+        }
+        return held ? sheet.draining.computeIfAbsent(name.replica(), r -> made(name, weight(line), true)) : null;
+    }
+
+    /** Sets a line, 0 removes it; the one before, or null. */
+    Item set(int table, long replica, int weight) {
+        Sheet sheet = sheet(table);
+        sheet.whole = null;
+        sheet.draining.remove(replica);
+        return weight == 0 ? sheet.lines.remove(replica)
+                : sheet.lines.put(replica, made(Name.line(table, replica), weight, false));
+    }
+
+    void withdraw(long replica, boolean out) {
+        if (out) {
+            withdrawn.add(replica);
+        } else {
+            withdrawn.remove(replica);
+        }
+        sheets.values().forEach(s -> s.whole = null);
     }
 
-    List<Item.Line> lines(int table) {
-        List<Item.Line> lines = new ArrayList<>();
-        sheet(table).lines.forEach((replica, weight) -> {
-            if (!withdrawn.contains(replica)) {
-                lines.add(new Item.Line(replica, weight, false));
+    static Item made(Name name, int weight, boolean draining) {
+        Item.Line line = new Item.Line(name.replica(), weight, draining);
+        return new Item(name, line.version(), List.of(line), List.of());
+    }
+
+    private static int weight(Item line) {
+        return line.lines().get(0).weight();
+    }
+
+    /** The whole table, for a stream that takes whole states. */
+    Item whole(int table) {
+        Sheet sheet = sheet(table);
+        if (sheet.whole == null) {
+            List<Item.Line> lines = new ArrayList<>();
+            long sum = 1_125_899_906_842_597L;
+            for (Map.Entry<Long, Item> each : sheet.lines.entrySet()) {
+                if (!withdrawn.contains(each.getKey())) {
+                    Item.Line line = each.getValue().lines().get(0);
+                    lines.add(line);
+                    sum = 31 * (31 * sum + line.replica()) + line.weight();
+                }
             }
-        });
-        return lines;
+            sheet.whole = new Item(Name.endpoints(table), Long.toHexString(sum), lines, List.of());
+        }
+        return sheet.whole;
     }
 
     Item.Rule rule(int product, int table) {
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -20,12 +20,14 @@
 public final class Delivery {
     private static final int MOST_NAMES = 1000;
     private static final double ORDINARY_SHARE = 0.75; // of a cap on messages; the rest is for what must go
+    private static final double MOST_OF_GRACE = 0.6;
     private static final String HERE = "1"; // content of a cluster, and of endpoints whose lines come one by one
 
     private final int messagesMost;
     private final double span;
     private final double leftBehind;
     private final double patience;
+    private final double grace;
     private final Catalogue catalogue = new Catalogue();
     private final Map<Integer, Holder> holders = new TreeMap<>();
     /** Proxies that may have something to send, urgent ones first. */
@@ -38,14 +40,18 @@
     private double now;
     private long stamp;
     private long messages;
+    private int unanswered;
+    private int mostUnanswered;
 
     /**
      * @param messagesMost messages to one proxy within the span; 0: no limit
      * @param span ms
      * @param leftBehind ms without an answer after which a proxy counts as behind
      * @param patience ms without an answer after which its stream is cut
+     * @param grace ms within which removals must be in force: a proxy that answers none for most of it is cut
      */
-    public Delivery(int messagesMost, double span, double leftBehind, double patience) {
+    public Delivery(int messagesMost, double span, double leftBehind, double patience, double grace) {
+        this.grace = grace;
         this.messagesMost = messagesMost;
         this.span = span;
         this.leftBehind = leftBehind;
@@ -87,6 +93,7 @@
         Holder h = holders.remove(id);
         if (h != null) {
             h.gone = true;
+            h.open.values().forEach(m -> unanswered -= m.lines());
             urgent.remove(h);
             ready.remove(h);
             capped.remove(h);
@@ -94,6 +101,17 @@
         }
     }
 
+    /** Lines sent and not answered, at all proxies; and the most there were since this was last asked. */
+    public int unanswered() {
+        return unanswered;
+    }
+
+    public int mostUnanswered() {
+        int most = mostUnanswered;
+        mostUnanswered = unanswered;
+        return most;
+    }
+
     public Holder holder(int id) {
         return holders.get(id);
     }
@@ -129,10 +147,11 @@
 
     /** A message was accepted. Numbers that are not under way, of former streams say, are left alone. */
     public void acked(Holder h, long id) {
-        Message m = h.open.remove(id);
-        if (m == null || h.gone) {
+        Message m = h.gone ? null : h.open.remove(id);
+        if (m == null) {
             return;
         }
+        unanswered -= m.lines();
         h.behind &= !h.open.isEmpty();
         h.atMost = h.atMost < MOST_NAMES ? Math.min(MOST_NAMES, h.atMost * 4) : h.atMost;
         if (m.whole) {
@@ -157,10 +176,11 @@
      * line does not hold up removals beside it; a name alone is not sent again until its version changes.
      */
     public void refused(Holder h, long id, String why) {
-        Message m = h.open.remove(id);
-        if (m == null || h.gone) {
+        Message m = h.gone ? null : h.open.remove(id);
+        if (m == null) {
             return;
         }
+        unanswered -= m.lines();
         h.behind &= !h.open.isEmpty();
         if (m.settles.size() > 1 && !m.whole) {
             h.atMost = Math.max(1, m.settles.size() / 2);
@@ -181,9 +201,8 @@
 
     /** Sets a line; a weight that is not above 0 removes it. */
     public void line(int table, long replica, double weight) {
-        Map<Long, Integer> lines = catalogue.sheet(table).lines;
-        Integer before = weight > 0 ? lines.put(replica, (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))))
-                : lines.remove(replica);
+        Item before = catalogue.set(table, replica,
+                weight > 0 ? (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))) : 0);
         boolean cut = weight <= 0 && before != null;
         for (Holder h : holders.values()) {
             if (uses(h, table)) {
@@ -206,11 +225,7 @@
 
     /** Wherever a proxy holds the replica, whoever wrote that: it drains, or serves again. */
     public void withdraw(long replica, boolean out) {
-        if (out) {
-            catalogue.withdrawn.add(replica);
-        } else {
-            catalogue.withdrawn.remove(replica);
-        }
+        catalogue.withdraw(replica, out);
         for (Holder h : holders.values()) {
             if (h.deltas) {
                 List<Name> lines = h.held.keySet().stream()
@@ -293,9 +308,13 @@
     public void look() {
         for (Holder h : List.copyOf(holders.values())) {
             double waits = h.open.isEmpty() ? 0 : now - h.open.firstEntry().getValue().sentAt;
-            if (waits > patience) {
+            // What reads nothing can't be told what to leave; cut off, it dials again and is told at once.
+            Message must = h.open.values().stream().filter(m -> drains(h, m)).findFirst().orElse(null);
+            boolean late = must != null && now - must.sentAt > MOST_OF_GRACE * grace;
+            if (waits > patience || late) {
                 left(h.id);
-                due.add(() -> acts.cut(h, "no answer for " + Math.round(waits) + " ms"));
+                due.add(() -> acts.cut(h, (late ? "a removal unanswered, for " : "no answer for ")
+                        + Math.round(waits) + " ms"));
             } else if (waits > leftBehind && !h.behind) {
                 h.behind = true;
                 due.add(() -> acts.note("a proxy is behind", "proxy", h.id, "waits", Math.round(waits), "unanswered",
@@ -318,6 +337,8 @@
             Message m = message(h, kind);
             if (m != null) {
                 h.open.put(m.id, m);
+                unanswered += m.lines();
+                mostUnanswered = Math.max(mostUnanswered, unanswered);
                 h.sent.add(now);
                 h.urgent &= kind != Kind.LINE && kind != Kind.ENDPOINTS;
                 return m;
@@ -401,18 +422,16 @@
         int t = name.table();
         switch (name.kind()) {
             case CLUSTER:
-                return clusters(h).contains(t) ? item(name, HERE, List.of(), List.of()) : null;
+                return clusters(h).contains(t) ? new Item(name, HERE, List.of(), List.of()) : null;
             case ENDPOINTS:
                 if (h.deltas) {
-                    return clusters(h).contains(t) ? item(name, HERE, List.of(), List.of()) : null;
+                    return clusters(h).contains(t) ? new Item(name, HERE, List.of(), List.of()) : null;
                 }
-                List<Item.Line> lines = catalogue.lines(t);
-                return item(name, version(lines), lines, List.of());
+                return catalogue.whole(t);
             case LINE:
                 boolean held = h.held.containsKey(name);
                 if (uses(h, t)) {
-                    Item.Line line = catalogue.line(t, name.replica(), held);
-                    return line == null ? null : item(name, line.version(), List.of(line), List.of());
+                    return catalogue.line(name, held);
                 }
                 String version = h.held.get(name);
                 if (h.bound() || version == null) {
@@ -420,8 +439,7 @@
                 }
                 // Written by another governor, to a proxy that is not bound here yet: only its health is ours.
                 boolean out = catalogue.withdrawn.contains(name.replica());
-                Item.Line line = new Item.Line(name.replica(), weight(version), out);
-                return item(name, line.version(), List.of(line), List.of());
+                return Catalogue.made(name, weight(version), out);
             default:
                 if (!h.bound()) {
                     return null;
@@ -430,20 +448,8 @@
                 h.binding.forEach((product, table) -> rules.add(catalogue.rule(product, table)));
                 StringBuilder text = new StringBuilder();
                 rules.forEach(r -> text.append(text.isEmpty() ? "" : ",").append(r.version()));
-                return item(name, text.toString(), List.of(), rules);
-        }
-    }
-
-    private static Item item(Name name, String version, List<Item.Line> lines, List<Item.Rule> rules) {
-        return new Item(name, version, lines, rules);
-    }
-
-    private static String version(List<Item.Line> lines) {
-        long sum = 1125899906842597L;
-        for (Item.Line each : lines) {
-            sum = 31 * (31 * sum + each.replica()) + each.weight();
+                return new Item(name, text.toString(), List.of(), rules);
         }
-        return Long.toHexString(sum);
     }
 
     /** The weight that a version tells; 1 if it tells none. */
@@ -526,8 +532,9 @@
         }
     }
 
-    private boolean drains(Holder h, Message m) {
-        return m.kind == Kind.LINE && (!m.gone.isEmpty()
+    /** Whether it takes lines away. On a whole state that cannot be told: any message of lines may. */
+    private static boolean drains(Holder h, Message m) {
+        return !h.deltas && m.kind == Kind.ENDPOINTS || m.kind == Kind.LINE && (!m.gone.isEmpty()
                 || m.items.stream().anyMatch(i -> i.lines().stream().anyMatch(Item.Line::draining)));
     }
 
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -46,6 +46,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Governor.class);
     private static final int PROXIES = 65_535;
     private static final double LOOK = 100; // ms between looks at who is behind
+    private static final double FIGURES = 10_000; // ms between lines with the figures
     private static final int NOTE = 256;
 
     /** Names of the site, by position. */
@@ -83,8 +84,10 @@
     private final Map<Integer, Dialled> dialled = new HashMap<>();
     private final Hand hand = new Hand();
     private final Does does = new Does();
-    private final Histogram toWritten = new ConcurrentHistogram(3_600_000_000L, 3);
-    private final Histogram toAck = new ConcurrentHistogram(3_600_000_000L, 3);
+    /** us from a decision to its bytes at the transport, and to its acknowledgement. */
+    private final Recorder toWritten = new Recorder(3_600_000_000L, 3);
+    private final Recorder toAck = new Recorder(3_600_000_000L, 3);
+    private double longestRound;
     private final double wallOffset = System.currentTimeMillis() - Loop.now();
     /** When the moment of each receipt was. */
     private final double[] momentOf = new double[65_536];
@@ -168,6 +171,7 @@
             delivery.clock(Loop.now());
             delivery.look();
         });
+        loop.every(FIGURES, this::figures);
         thread.start();
     }
 
@@ -318,19 +322,23 @@
         return byRate;
     }
 
-    /** us from a decision to its bytes at the transport, since the start. */
-    public Histogram toWritten() {
-        return toWritten;
-    }
-
-    /** us from a decision to its acknowledgement, since the start. */
-    public Histogram toAck() {
-        return toAck;
-    }
-
-    /** Orders that Choice gave so far. */
-    public long orders() {
-        return orders;
+    /** One line with the figures since the last one. */
+    private void figures() {
+        Histogram written = toWritten.getIntervalHistogram();
+        Histogram acked = toAck.getIntervalHistogram();
+        long streams = dialled.values().stream().filter(d -> d.in[0]).count();
+        log("figures").addKeyValue("orders", orders).addKeyValue("streams", streams)
+                .addKeyValue("waiting", admission.waiting()).addKeyValue("messages", written.getTotalCount())
+                .addKeyValue("writtenUsP50", written.getValueAtPercentile(50))
+                .addKeyValue("writtenUsP99", written.getValueAtPercentile(99))
+                .addKeyValue("writtenUsMax", written.getMaxValue())
+                .addKeyValue("ackedUsP50", acked.getValueAtPercentile(50))
+                .addKeyValue("ackedUsP99", acked.getValueAtPercentile(99))
+                .addKeyValue("ackedUsMax", acked.getMaxValue())
+                .addKeyValue("unansweredLines", delivery.unanswered())
+                .addKeyValue("mostUnansweredLines", delivery.mostUnanswered())
+                .addKeyValue("longestRoundMs", Math.round(longestRound * 10) / 10.0).log();
+        longestRound = 0;
     }
 
     /** Runs a step on the core's thread; false if the core is full. */
@@ -350,6 +358,7 @@
             delivery.momentEnds();
         }
         pull(() -> delivery.decide(does));
+        longestRound = Math.max(longestRound, Loop.now() - moment);
     }
 
     private void pull(BooleanSupplier decision) {
--- a/src/main/java/sprucelanding/program/Build.java
+++ b/src/main/java/sprucelanding/program/Build.java
@@ -44,7 +44,7 @@
                         s.roster().from() == null ? null : new InetSocketAddress(s.roster().from(), 0),
                         s.roster().pushed(), s.roster().keep() == null ? null : Path.of(s.roster().keep())),
                 new Governor.Probing(s.probes().allowed(), s.probes().timeout()), byRate,
-                new Delivery(c.messages(), c.span(), c.leftBehind(), c.patience()),
+                new Delivery(c.messages(), c.span(), c.leftBehind(), c.patience(), c.grace()),
                 new Admission(s.streams().atOnce(), s.streams().most(), s.streams().turn()),
                 new Intake(products.length, s.reports().every(), s.reports().lines()));
         if (s.peers().at() != null) {
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
@@ -46,16 +45,7 @@
             Station station = Records.read(config, Station.SCHEMA, Station.DEFINITION, Station.class);
             Build.Built built = Build.build(station);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                Histogram written = built.governor().toWritten();
-                Histogram acked = built.governor().toAck();
-                LOG.atInfo().setMessage("stops").addKeyValue("orders", built.governor().orders())
-                        .addKeyValue("messages", written.getTotalCount())
-                        .addKeyValue("writtenUsP50", written.getValueAtPercentile(50))
-                        .addKeyValue("writtenUsP99", written.getValueAtPercentile(99))
-                        .addKeyValue("writtenUsMax", written.getMaxValue())
-                        .addKeyValue("ackedUsP50", acked.getValueAtPercentile(50))
-                        .addKeyValue("ackedUsP99", acked.getValueAtPercentile(99))
-                        .addKeyValue("ackedUsMax", acked.getMaxValue()).log();
+                LOG.atInfo().setMessage("stops").log();
                 built.governor().close();
             }));
             built.governor().start(station.reports().every());
--- a/src/main/java/sprucelanding/program/Station.java
+++ b/src/main/java/sprucelanding/program/Station.java
@@ -18,7 +18,7 @@
     }
 
     public record Channel(double lines, double head, double most, int messages, double span, double leftBehind,
-            double patience) {
+            double patience, double grace) {
     }
 
     public record Streams(int atOnce, int most, double turn) {
--- a/src/main/java/sprucelanding/rules/Judge.java
+++ b/src/main/java/sprucelanding/rules/Judge.java
@@ -53,10 +53,11 @@
     private static final class Proxy {
         int governor = -1;
         double joinedAt;
+        double readsSince;
+        boolean deaf;
         final Map<Integer, Integer> picks = new HashMap<>();
         /** By product, since when it has been wrongly without a line; negative: it is not. */
         final Map<Integer, Double> bare = new HashMap<>();
-        final Map<Long, Integer> open = new HashMap<>();
         final ArrayDeque<Double> messages = new ArrayDeque<>();
     }
 
@@ -84,7 +85,8 @@
     private final Map<Integer, Map<Long, Listed>> lists = new HashMap<>();
     private final Map<Long, Seen.Effect> effects = new HashMap<>();
     private final Map<Long, Cold> young = new HashMap<>();
-    private final Map<Integer, Integer> waiting = new HashMap<>();
+    /** By governor, lines that wait in a channel of the stated pace, and as of when. */
+    private final Map<Integer, double[]> waiting = new HashMap<>();
 
     private Judge(Limits limits, double begin) {
         this.limits = limits;
@@ -145,12 +147,9 @@
             leave(e.proxy());
         } else if (seen instanceof Seen.Message e) {
             message(e);
-        } else if (seen instanceof Seen.Answered e) {
-            Proxy p = proxy(e.proxy());
-            Integer n = p.open.remove(e.nonce());
-            if (n != null && p.governor >= 0) {
-                waiting.merge(p.governor, -n, Integer::sum);
-            }
+        } else if (seen instanceof Seen.Reads e) {
+            proxy(e.proxy()).deaf = !e.on();
+            proxy(e.proxy()).readsSince = e.at();
         } else if (seen instanceof Seen.Picks e) {
             proxy(e.proxy()).picks.put(e.product(), e.lines());
         } else if (seen instanceof Seen.Started e) {
@@ -171,11 +170,6 @@
 
     private void leave(int id) {
         Proxy p = proxy(id);
-        if (p.governor >= 0) {
-            int open = p.open.values().stream().mapToInt(n -> n).sum();
-            waiting.merge(p.governor, -open, Integer::sum);
-        }
-        p.open.clear();
         p.messages.clear();
         p.bare.clear();
         p.governor = -1;
@@ -185,7 +179,7 @@
         Proxy p = proxy(e.proxy());
         Listed l = p.governor < 0 ? null : list(p.governor).get(e.replica());
         if (l != null && !l.ready && !limits.softRemoval()) {
-            double after = e.at() - Math.max(l.since, p.joinedAt) - SLACK;
+            double after = p.deaf ? 0 : e.at() - Math.max(l.since, Math.max(p.joinedAt, p.readsSince)) - SLACK;
             drains.share(after / limits.grace(), "at %.3f s proxy %d sent to %d, %.2f s after governor %d was told",
                     s(e.at()), e.proxy(), e.replica(), (e.at() - l.since) / 1000, p.governor);
         }
@@ -222,9 +216,10 @@
         if (p.governor != e.governor()) {
             return; // of a former stream
         }
-        p.open.put(e.nonce(), e.lines());
-        int all = waiting.merge(e.governor(), e.lines(), Integer::sum);
-        queue.share((double) all / limits.lines(), "at %.3f s %d lines of governor %d were unanswered", s(e.at()), all,
+        double[] w = waiting.computeIfAbsent(e.governor(), x -> new double[] {0, e.at()});
+        w[0] = Math.max(0, w[0] - (e.at() - w[1]) * limits.pace()) + e.lines() + limits.head();
+        w[1] = e.at();
+        queue.share(w[0] / limits.lines(), "at %.3f s %.0f lines would wait in governor %d's channel", s(e.at()), w[0],
                 e.governor());
         p.messages.addLast(e.at());
         while (p.messages.peekFirst() < e.at() - limits.span()) {
--- a/src/main/java/sprucelanding/rules/Limits.java
+++ b/src/main/java/sprucelanding/rules/Limits.java
@@ -10,11 +10,13 @@
  * @param coldFrom share of its capacity at which a replica starts at least
  * @param warmAfter ms until it is warm
  * @param tip multiple of what it can do that pushes a cold one over, if brought for fall ms
- * @param lines that may be unanswered at a governor's proxies
+ * @param lines that may wait in a governor's channel
+ * @param pace lines a ms that the channel is stated to carry
+ * @param head lines that a message costs beside its own
  * @param messages of one governor to one proxy within span ms; 0: no limit
  * @param onceOnly by product, whether an effect must not happen twice
  * @param softRemoval a replica that left the list without draining may still be sent to
  */
 public record Limits(double grace, double bare, double coldFrom, double warmAfter, double tip, double fall, int lines,
-        int messages, double span, List<Boolean> onceOnly, boolean softRemoval) {
+        double pace, double head, int messages, double span, List<Boolean> onceOnly, boolean softRemoval) {
 }
--- a/src/main/java/sprucelanding/rules/Seen.java
+++ b/src/main/java/sprucelanding/rules/Seen.java
@@ -39,6 +39,10 @@
     record Answered(double at, int proxy, long nonce, boolean refused) implements Seen {
     }
 
+    /** By script a proxy reads nothing, or reads again: in between nobody can tell it anything. */
+    record Reads(double at, int proxy, boolean on) implements Seen {
+    }
+
     /** How many lines a proxy has to pick from for a product. */
     record Picks(double at, int proxy, int product, int lines) implements Seen {
     }
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -345,6 +345,7 @@
     }
 
     public void readsNothing(boolean on) {
+        tape.saw(new Seen.Reads(Loop.now(), number, !on));
         readsNothing = on;
         if (peer != null) {
             peer.readsNothing(on);
--- a/src/main/java/sprucelanding/xds/DeltaStream.java
+++ b/src/main/java/sprucelanding/xds/DeltaStream.java
@@ -3,7 +3,6 @@
 import io.envoyproxy.envoy.config.core.v3.ControlPlane;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
-import io.envoyproxy.envoy.service.discovery.v3.Resource;
 import io.grpc.stub.StreamObserver;
 import java.util.EnumSet;
 import java.util.List;
@@ -54,8 +53,7 @@
                 .setSystemVersionInfo(Long.toString(message.id))
                 .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier()));
         for (Item item : message.items) {
-            r.addResources(Resource.newBuilder().setName(Words.name(item.name())).setVersion(item.version())
-                    .setResource(front.resource(item, true, site)));
+            r.addResources(XdsFront.resource(item, true, site));
         }
         message.gone.forEach(name -> r.addRemovedResources(Words.name(name)));
         return r.build();
--- a/src/main/java/sprucelanding/xds/StateStream.java
+++ b/src/main/java/sprucelanding/xds/StateStream.java
@@ -60,7 +60,7 @@
                 .setNonce(Long.toString(message.id)).setVersionInfo(Long.toString(message.id))
                 .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier()));
         for (Item item : message.items) {
-            r.addResources(front.resource(item, false, site));
+            r.addResources(XdsFront.resource(item, false, site).getResource());
         }
         return r.build();
     }
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -33,6 +33,8 @@
     private final ServerCallStreamObserver<R> out;
     final boolean deltas;
     Holder holder;
+    /** The proxy's number; 0 until it is known. */
+    private volatile int number;
     private boolean begun;
     private boolean ended;
     /** Names asked for, by kind. */
@@ -82,7 +84,7 @@
     @Override
     public void onCompleted() {
         over();
-        front.write(() -> {
+        front.write(number, () -> {
             if (!ended) {
                 ended = true;
                 out.onCompleted();
@@ -112,11 +114,12 @@
             throw Status.INVALID_ARGUMENT.withDescription("node.id: expected 1 to 512 characters")
                     .asRuntimeException();
         }
-        int number = front.core().number(node.getId());
-        if (number < 0) {
+        int known = front.core().number(node.getId());
+        if (known < 0) {
             throw Status.RESOURCE_EXHAUSTED.withDescription("too many proxies").asRuntimeException();
         }
-        holder = new Holder(number, deltas, this);
+        number = known;
+        holder = new Holder(known, deltas, this);
         Value usual = node.getMetadata().getFieldsOrDefault("txns_per_s", Value.getDefaultInstance());
         double rate = usual.getNumberValue() >= 0 && usual.getNumberValue() < 1e6 ? usual.getNumberValue() : 0;
         Holder h = holder;
@@ -192,7 +195,7 @@
 
     final void end(Status status) {
         over();
-        front.write(() -> {
+        front.write(number, () -> {
             if (!ended) {
                 ended = true;
                 out.onError(status.asRuntimeException());
--- a/src/main/java/sprucelanding/xds/XdsFront.java
+++ b/src/main/java/sprucelanding/xds/XdsFront.java
@@ -1,11 +1,11 @@
 package sprucelanding.xds;
 
-import com.google.protobuf.Any;
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryRequest;
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
+import io.envoyproxy.envoy.service.discovery.v3.Resource;
 import io.grpc.Server;
 import io.grpc.Status;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
@@ -14,8 +14,6 @@
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -33,8 +31,8 @@
 /** Serves proxies that speak xDS. Open it, give it to the governor, then start it. */
 public final class XdsFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(XdsFront.class);
+    private static final int WRITERS = 2;
     private static final int WRITES = 65_536;
-    private static final int KEPT = 4096; // resources in words, newest used last
     private static final int WINDOW = 256 * 1024;
 
     private final Core core;
@@ -43,16 +41,7 @@
     private final Server server;
     private final NioEventLoopGroup accepting = new NioEventLoopGroup(1);
     private final NioEventLoopGroup serving = new NioEventLoopGroup(2);
-    private final ArrayBlockingQueue<Runnable> writes = new ArrayBlockingQueue<>(WRITES);
-    private final Thread writer = new Thread(this::writing, "xds-writer");
-    private final Map<String, Any> words = new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Any> eldest) {
-            return size() > KEPT;
-        }
-    };
+    private final Writer[] writers = new Writer[WRITERS];
     private volatile boolean closed;
 
     /**
@@ -69,7 +58,36 @@
                 .flowControlWindow(WINDOW).keepAliveTime(5, TimeUnit.SECONDS).keepAliveTimeout(5, TimeUnit.SECONDS)
                 .permitKeepAliveTime(1, TimeUnit.SECONDS).maxConcurrentCallsPerConnection(8)
                 .addService(new Discovery()).addService(new Loads(this, site, reports)).build();
-        writer.setDaemon(true);
+        for (int i = 0; i < WRITERS; i++) {
+            writers[i] = new Writer("xds-writer-" + i);
+        }
+    }
+
+    /** One thread that puts messages into words; a stream always has the same one, so that its messages keep their order. */
+    private final class Writer implements Runnable {
+        final ArrayBlockingQueue<Runnable> writes = new ArrayBlockingQueue<>(WRITES);
+        final Thread thread;
+
+        Writer(String name) {
+            thread = new Thread(this, name);
+            thread.setDaemon(true);
+        }
+
+        @Override
+        public void run() {
+            while (!closed) {
+                try {
+                    Runnable next = writes.poll(1, TimeUnit.SECONDS);
+                    if (next != null) {
+                        next.run();
+                    }
+                } catch (InterruptedException e) {
+                    break;
+                } catch (RuntimeException e) {
+                    LOG.atError().setMessage("a message was not written").setCause(e).log();
+                }
+            }
+        }
     }
 
     private final class Discovery extends AggregatedDiscoveryServiceGrpc.AggregatedDiscoveryServiceImplBase {
@@ -87,7 +105,9 @@
 
     /** Throws IOException if it cannot listen. */
     public void start() throws IOException {
-        writer.start();
+        for (Writer each : writers) {
+            each.thread.start();
+        }
         server.start();
         LOG.atInfo().setMessage("xds is served").addKeyValue("at", at).addKeyValue("port", port()).log();
     }
@@ -109,16 +129,16 @@
         return identifier;
     }
 
-    /** On the writing thread: proxies on one table hold the same lines, so each is put into words once. */
-    Any resource(Item item, boolean deltas, Site site) {
-        String key = Words.name(item.name()) + (deltas ? " d " : " s ") + item.name().kind() + item.version();
-        return words.computeIfAbsent(key, k -> Words.resource(item, deltas, site));
+    /** Proxies on one table hold the same lines: each is put into words once. */
+    static Resource resource(Item item, boolean deltas, Site site) {
+        return item.words(deltas ? 0 : 1, i -> Resource.newBuilder().setName(Words.name(i.name()))
+                .setVersion(i.version()).setResource(Words.resource(i, deltas, site)).build());
     }
 
     @Override
     public void send(Message message, Site site) {
         Stream<?, ?> stream = (Stream<?, ?>) message.to.stream;
-        boolean taken = write(() -> {
+        boolean taken = write(message.to.id, () -> {
             stream.write(message, site);
             core.written(message, Loop.now());
         });
@@ -139,8 +159,8 @@
     }
 
     /** False if too much waits to be written. */
-    boolean write(Runnable what) {
-        return writes.offer(what);
+    boolean write(int stream, Runnable what) {
+        return writers[stream % WRITERS].writes.offer(what);
     }
 
     /** Asks the core until it takes it. This holds up the transport's thread, never the core. */
@@ -150,26 +170,13 @@
         }
     }
 
-    private void writing() {
-        while (!closed) {
-            try {
-                Runnable next = writes.poll(1, TimeUnit.SECONDS);
-                if (next != null) {
-                    next.run();
-                }
-            } catch (InterruptedException e) {
-                break;
-            } catch (RuntimeException e) {
-                LOG.atError().setMessage("a message was not written").setCause(e).log();
-            }
-        }
-    }
-
     @Override
     public void close() {
         closed = true;
         server.shutdownNow();
-        writer.interrupt();
+        for (Writer each : writers) {
+            each.thread.interrupt();
+        }
         accepting.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         serving.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
--- a/src/main/resources/sprucelanding/program/station.cue
+++ b/src/main/resources/sprucelanding/program/station.cue
@@ -41,6 +41,7 @@
 		span: time & >0 | *10s
 		leftBehind: time & >0 | *3s // unanswered, until a proxy counts as behind
 		patience: time & >0 | *15s // unanswered, until its stream is cut
+		grace: time & >0 | *4s // within which proxies must have stopped sending to what left
 	}
 	streams: {
 		atOnce: int & >=1 | *64 // being laid at a time
