--- a/src/main/java/sprucelanding/delivery/Catalogue.java
+++ b/src/main/java/sprucelanding/delivery/Catalogue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,7 +12,7 @@
 final class Catalogue {
     static final class Sheet {
         final int number;
-        final Map<Long, Item> lines = new TreeMap<>();
+        final Map<Long, Item> lines = new LinkedHashMap<>();
         /** The same, for proxies that hold one and must let it drain. */
         final Map<Long, Item> draining = new TreeMap<>();
         /** All that are not withdrawn, for whole-state streams; null once that may have changed. */
@@ -25,7 +26,7 @@
     }
 
     private static final double ALL = 1e6;
-    private final Map<Integer, Sheet> sheets = new TreeMap<>();
+    private final Map<Integer, Sheet> sheets = new LinkedHashMap<>();
     final Set<Long> withdrawn = new HashSet<>();
 
     Sheet sheet(int number) {
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -204,9 +204,11 @@
         Item before = catalogue.set(table, replica,
                 weight > 0 ? (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))) : 0);
         boolean cut = weight <= 0 && before != null;
+        Name line = Name.line(table, replica);
+        Name whole = Name.endpoints(table);
         for (Holder h : holders.values()) {
             if (uses(h, table)) {
-                touch(h, h.deltas ? Name.line(table, replica) : Name.endpoints(table), cut);
+                touch(h, h.deltas ? line : whole, cut);
             }
         }
     }
@@ -356,17 +358,31 @@
         List<Item> items = new ArrayList<>();
         List<Name> gone = new ArrayList<>();
         Map<Name, Long> settles = new LinkedHashMap<>();
+        Set<Name> underWay = new HashSet<>();
+        if (h.deltas) {
+            h.open.values().forEach(m -> underWay.addAll(m.settles.keySet()));
+        }
+        int table = -1;
+        boolean uses = false;
+        boolean made = false;
         var owed = h.owed.get(kind).entrySet().iterator();
         while (owed.hasNext() && settles.size() < Math.min(MOST_NAMES, h.atMost)) {
             var each = owed.next();
             Name name = each.getKey();
-            if (h.deltas && h.open.values().stream().anyMatch(m -> m.settles.containsKey(name)) || !may(h, name)) {
+            if (kind == Kind.LINE && name.table() != table) {
+                table = name.table();
+                uses = uses(h, table);
+                made = h.held.containsKey(Name.endpoints(table));
+            }
+            String held = h.held.get(name);
+            boolean may = kind == Kind.LINE ? h.lines.contains(table) && (made || held != null) : may(h, name);
+            if (!may || underWay.contains(name)) {
                 continue;
             }
-            Item item = desired(h, name);
+            Item item = kind == Kind.LINE && uses ? catalogue.line(name, held != null) : desired(h, name);
             String version = item == null ? null : item.version();
-            boolean same = version == null ? !h.held.containsKey(name) : version.equals(h.held.get(name));
-            boolean no = h.refused.containsKey(name) && h.refused.get(name).equals(version == null ? "" : version);
+            boolean same = version == null ? held == null : version.equals(held);
+            boolean no = !h.refused.isEmpty() && (version == null ? "" : version).equals(h.refused.get(name));
             owed.remove();
             if (same || no) {
                 continue;
@@ -397,8 +413,7 @@
         return switch (name.kind()) {
             case CLUSTER -> h.clusters;
             case ENDPOINTS -> h.endpoints.contains(t) && (!uses(h, t) || h.held.containsKey(Name.cluster(t)));
-            case LINE -> h.lines.contains(t)
-                    && (h.held.containsKey(name) || h.held.containsKey(Name.endpoints(t)));
+            case LINE -> throw new IllegalArgumentException("looked at line by line");
             case ROUTE -> h.route && tables(h).stream().allMatch(x -> laid(h, x));
         };
     }
@@ -429,10 +444,6 @@
                 }
                 return catalogue.whole(t);
             case LINE:
-                boolean held = h.held.containsKey(name);
-                if (uses(h, t)) {
-                    return catalogue.line(name, held);
-                }
                 String version = h.held.get(name);
                 if (h.bound() || version == null) {
                     return null;
--- a/src/main/java/sprucelanding/delivery/Message.java
+++ b/src/main/java/sprucelanding/delivery/Message.java
@@ -25,8 +25,8 @@
         this.to = to;
         this.kind = kind;
         this.whole = whole;
-        this.items = List.copyOf(items);
-        this.gone = List.copyOf(gone);
+        this.items = items;
+        this.gone = gone;
         this.sentAt = sentAt;
         this.settles = settles;
     }
--- /dev/null
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -0,0 +1,55 @@
+package sprucelanding;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/** Arrows run down, and what decides does no I/O. */
+class PackagesTest {
+    private final JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("sprucelanding");
+
+    @Test
+    void arrowsRunDown() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("module").definedBy("sprucelanding")
+                .layer("loop").definedBy("sprucelanding.loop")
+                .layer("decisions").definedBy("sprucelanding.delivery", "sprucelanding.intake", "sprucelanding.roster")
+                .layer("governor").definedBy("sprucelanding.governor")
+                .layer("fronts").definedBy("sprucelanding.xds")
+                .layer("rules").definedBy("sprucelanding.rules")
+                .layer("stands").definedBy("sprucelanding.standin")
+                .layer("day").definedBy("sprucelanding.day")
+                .layer("program").definedBy("sprucelanding.program")
+                .whereLayer("program").mayNotBeAccessedByAnyLayer()
+                .whereLayer("day").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("stands").mayOnlyBeAccessedByLayers("day")
+                .whereLayer("rules").mayOnlyBeAccessedByLayers("stands", "day")
+                .whereLayer("fronts").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("governor").mayOnlyBeAccessedByLayers("fronts", "program")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("governor", "fronts", "program", "stands", "day")
+                .whereLayer("module").mayOnlyBeAccessedByLayers("governor", "fronts", "program")
+                .check(all);
+    }
+
+    @Test
+    void whatDecidesDoesNoInputOrOutputAndHasNoClock() {
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.delivery",
+                "sprucelanding.intake", "sprucelanding.roster").should().dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
+                        "io.grpc..", "org.slf4j..")
+                .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .check(all);
+    }
+
+    @Test
+    void theAdapterAndTheModuleUseNoneOfTheLibraries() {
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.wire").should()
+                .dependOnClassesThat().resideInAnyPackage("io..", "picocli..", "org..", "ch..", "com.fasterxml..")
+                .check(all);
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucelanding/day/DayTest.java
@@ -0,0 +1,45 @@
+package sprucelanding.day;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sprucelanding.records.Records;
+
+/** A short bad day on real sockets with governors as processes; only the rules are judged, never the speed. */
+class DayTest {
+    private static final String DAY = """
+            name: "short"
+            seed: 3
+            lasts: 15s
+            zones: ["north", "south"]
+            kinds: [{name: "usual", cores: 4, speed: 1, slots: 16, room: 64, part: 100%}]
+            products: [
+                {name: "read", part: 75%, work: 20ms, sla: 750ms, expiry: 2s, revenue: 1, retry: "safe"},
+                {name: "sign", part: 25%, work: 20ms, sla: 800ms, expiry: 2s, revenue: 2, retry: "once"}]
+            replicas: {count: 8, warmAfter: 6s}
+            proxies: {count: 12}
+            governors: {count: 2, messages: 60}
+            txns: 80/s
+            clients: {}
+            roster: {}
+            rules: {grace: 5s, bare: 8s}
+            troubles: [
+                {at: 2s, what: "crash", part: 25%, lasts: 4s},
+                {at: 3s, what: "reject", part: 20%},
+                {at: 4s, what: "zoneCut", zone: "south", lasts: 3s},
+                {at: 6s, what: "midUpdate", size: 300},
+                {at: 8s, what: "governorCrash", part: 50%, lasts: 1s},
+                {at: 9s, what: "wrongList", part: 20%, lasts: 2s},
+                {at: 10s, what: "lateAck", part: 20%, size: 1, lasts: 3s}]
+            """;
+
+    @Test
+    @Timeout(120)
+    void allRulesAreKeptOnAShortBadDay() throws Exception {
+        Script script = Records.parse("short.cue", DAY, Script.SCHEMA, Script.DEFINITION, Script.class);
+        Day.Outcome outcome = new Day(script, script.lasts(), Day.Tables.governors, null).play();
+        assertTrue(outcome.kept(), outcome.table());
+        assertTrue(outcome.figures().path("fronts").path("xds").path("acknowledged").asInt() > 50, outcome.table());
+    }
+}
--- /dev/null
+++ b/src/test/java/sprucelanding/xds/Station.java
@@ -0,0 +1,149 @@
+package sprucelanding.xds;
+
+import io.envoyproxy.envoy.config.core.v3.Node;
+import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryRequest;
+import io.envoyproxy.envoy.service.discovery.v3.DeltaDiscoveryResponse;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
+import java.net.InetSocketAddress;
+import java.util.BitSet;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import sprucelanding.Choice;
+import sprucelanding.Product;
+import sprucelanding.delivery.Admission;
+import sprucelanding.delivery.Delivery;
+import sprucelanding.governor.Governor;
+import sprucelanding.intake.Intake;
+import sprucelanding.loop.Loop;
+import sprucelanding.roster.Entry;
+import sprucelanding.rules.Tape;
+import sprucelanding.standin.Links;
+import sprucelanding.standin.ReplicaStand;
+import sprucelanding.standin.RosterStand;
+
+/** A governor in this process with a roster and replicas of its own, for stories told by peers over sockets. */
+final class Station implements AutoCloseable {
+    static final List<String> ZONES = List.of("north", "south");
+    final Loop loop = Loop.started("stands");
+    final Tape tape = new Tape(1_000_000);
+    final Governor governor;
+    final XdsFront front;
+    final RosterStand roster;
+    final List<ReplicaStand> replicas = new java.util.ArrayList<>();
+
+    Station(int count, int atOnce) throws Exception {
+        int rosterPort = free();
+        roster = new RosterStand(loop, new InetSocketAddress("127.0.0.1", rosterPort), ZONES, List.of("usual"), tape);
+        for (int i = 0; i < count; i++) {
+            ReplicaStand r = new ReplicaStand(loop, 100 + i, i % 2, 0, new InetSocketAddress("127.0.0.1", free()),
+                    new ReplicaStand.Machine(2, 1, 8, 32, 0.25, 5000, 400), List.of("read"), new Links(), tape, i);
+            replicas.add(r);
+            loop.hand(() -> r.start(false));
+        }
+        loop.hand(roster::start);
+        loop.hand(() -> roster.learns(replicas, Entry.Stage.READY, 0));
+        Choice choice = Governor.choice(1, new Product[] {
+                new Product(0, true, 1, 800, new BitSet(), new BitSet(), false)}, 2, Choice.Admission.SHARE);
+        choice.roll(true, false, 0.25, 5000);
+        choice.channel(100, 1, 100_000, 0, 10_000);
+        choice.reports(true, 500);
+        governor = new Governor(choice, new Governor.Names(List.of("read"), ZONES, List.of("usual")),
+                new Governor.Listing(new InetSocketAddress("127.0.0.1", rosterPort), null, true, null),
+                new Governor.Probing(true, 400), false, new Delivery(0, 10_000, 1000, 20_000, 10_000),
+                new Admission(atOnce, 1000, 20_000), new Intake(1, 500, 10_000));
+        front = new XdsFront(governor, governor, "here", new InetSocketAddress("127.0.0.1", 0), 64 * 1024, 500);
+        governor.front(front);
+        governor.start(500);
+        front.start();
+    }
+
+    private static int free() throws java.io.IOException {
+        try (java.net.ServerSocket s = new java.net.ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+
+    /** A peer that does what the story says, on an aggregated delta stream. */
+    final class Peer implements StreamObserver<DeltaDiscoveryResponse>, AutoCloseable {
+        final BlockingQueue<DeltaDiscoveryResponse> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<Status> ended = new LinkedBlockingQueue<>();
+        final Node node;
+        final ManagedChannel channel =
+                NettyChannelBuilder.forAddress("127.0.0.1", front.port()).usePlaintext().build();
+        final StreamObserver<DeltaDiscoveryRequest> out =
+                AggregatedDiscoveryServiceGrpc.newStub(channel).deltaAggregatedResources(this);
+
+        Peer(String name) {
+            node = Node.newBuilder().setId(name).build();
+        }
+
+        DeltaDiscoveryRequest.Builder about(String type) {
+            return DeltaDiscoveryRequest.newBuilder().setNode(node).setTypeUrl(type);
+        }
+
+        void asksForAll() {
+            out.onNext(about(Words.CDS).addResourceNamesSubscribe("*").build());
+            out.onNext(about(Words.RDS).addResourceNamesSubscribe(Words.ROUTES).build());
+            out.onNext(about(Words.EDS).addResourceNamesSubscribe("t0").build());
+            out.onNext(about(Words.LEDS).addResourceNamesSubscribe(Words.collection(0)).build());
+        }
+
+        DeltaDiscoveryResponse hears(String type) throws InterruptedException {
+            DeltaDiscoveryResponse r = heard.poll(10, TimeUnit.SECONDS);
+            if (r == null || !r.getTypeUrl().equals(type)) {
+                throw new AssertionError("expected " + type + ", heard " + r);
+            }
+            return r;
+        }
+
+        void acks(DeltaDiscoveryResponse r) {
+            out.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(r.getTypeUrl()).setResponseNonce(r.getNonce())
+                    .build());
+        }
+
+        void nacks(DeltaDiscoveryResponse r) {
+            out.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(r.getTypeUrl()).setResponseNonce(r.getNonce())
+                    .setErrorDetail(com.google.rpc.Status.newBuilder().setCode(3).setMessage("no")).build());
+        }
+
+        /** Accepts all until its route is in force. */
+        void comesIn() throws InterruptedException {
+            asksForAll();
+            for (String type : List.of(Words.CDS, Words.EDS, Words.LEDS, Words.RDS)) {
+                acks(hears(type));
+            }
+        }
+
+        @Override
+        public void onNext(DeltaDiscoveryResponse r) {
+            heard.add(r);
+        }
+
+        @Override
+        public void onError(Throwable t) {
+            ended.add(Status.fromThrowable(t));
+        }
+
+        @Override
+        public void onCompleted() {
+            ended.add(Status.OK);
+        }
+
+        @Override
+        public void close() {
+            channel.shutdownNow();
+        }
+    }
+
+    @Override
+    public void close() {
+        governor.close();
+        loop.close();
+    }
+}
