--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -184,6 +184,11 @@
         waiting = Math.min(waiting, booked - receipts.getOrDefault(serial, 0.0));
     }
 
+    /** Lines that wait in the channel, as the gate's model has it: a figure for the host's log. */
+    public double waiting() {
+        return Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
+    }
+
     public void came(int proxy, int product, int count, double span) {
         Proxy p = proxies.get(proxy);
         if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -164,7 +164,7 @@
         for (Name name : m.gone) {
             forget(h, name);
         }
-        if (m.kind == Kind.ROUTE || m.kind == Kind.CLUSTER) {
+        if (m.kind == null || m.kind == Kind.ROUTE || m.kind == Kind.CLUSTER) {
             unmake(h);
         }
         settled(h);
@@ -331,6 +331,14 @@
             capped.add(h);
             return null;
         }
+        if (h.edits) {
+            Message m = h.open.isEmpty() ? edit(h) : null;
+            if (m != null) {
+                sends(h, m);
+            }
+            h.urgent &= m == null && !h.open.isEmpty();
+            return m;
+        }
         for (Kind kind : must ? new Kind[] {Kind.LINE, Kind.ENDPOINTS} : Kind.values()) {
             long openOfKind = h.open.values().stream().filter(m -> m.kind == kind).count();
             if (h.owed.get(kind).isEmpty() || openOfKind >= (must ? 2 : 1)) {
@@ -338,10 +346,7 @@
             }
             Message m = message(h, kind);
             if (m != null) {
-                h.open.put(m.id, m);
-                unanswered += m.lines();
-                mostUnanswered = Math.max(mostUnanswered, unanswered);
-                h.sent.add(now);
+                sends(h, m);
                 h.urgent &= kind != Kind.LINE && kind != Kind.ENDPOINTS;
                 return m;
             }
@@ -353,6 +358,44 @@
         return null;
     }
 
+    private void sends(Holder h, Message m) {
+        h.open.put(m.id, m);
+        unanswered += m.lines();
+        mostUnanswered = Math.max(mostUnanswered, unanswered);
+        h.sent.add(now);
+    }
+
+    /** All that is owed, in one edit; null if nothing is. What needs what does not matter within it. */
+    private Message edit(Holder h) {
+        List<Item> items = new ArrayList<>();
+        List<Name> gone = new ArrayList<>();
+        Map<Name, Long> settles = new LinkedHashMap<>();
+        for (Kind kind : Kind.values()) {
+            var owed = h.owed.get(kind).entrySet().iterator();
+            while (owed.hasNext() && settles.size() < Math.min(MOST_NAMES, h.atMost)) {
+                var each = owed.next();
+                Name name = each.getKey();
+                Item item = kind == Kind.LINE && uses(h, name.table())
+                        ? catalogue.line(name, h.held.containsKey(name)) : desired(h, name);
+                owed.remove();
+                String version = item == null ? "" : item.version();
+                if (!version.equals(h.held.getOrDefault(name, "")) && !version.equals(h.refused.get(name))) {
+                    settles.put(name, each.getValue());
+                    if (item == null) {
+                        gone.add(name);
+                    } else {
+                        items.add(item);
+                    }
+                }
+            }
+        }
+        if (settles.isEmpty()) {
+            settled(h);
+            return null;
+        }
+        return new Message(++messages, h, null, false, items, gone, now, settles);
+    }
+
     /** What is owed of a kind and may go now; null if nothing is. */
     private Message message(Holder h, Kind kind) {
         List<Item> items = new ArrayList<>();
@@ -545,8 +588,8 @@
 
     /** Whether it takes lines away. On a whole state that cannot be told: any message of lines may. */
     private static boolean drains(Holder h, Message m) {
-        return !h.deltas && m.kind == Kind.ENDPOINTS || m.kind == Kind.LINE && (!m.gone.isEmpty()
-                || m.items.stream().anyMatch(i -> i.lines().stream().anyMatch(Item.Line::draining)));
+        return !h.deltas && m.kind == Kind.ENDPOINTS || m.gone.stream().anyMatch(n -> n.kind() == Kind.LINE)
+                || m.items.stream().anyMatch(i -> i.name().kind() == Kind.LINE && i.lines().get(0).draining());
     }
 
     private static Set<Name> names(Message m) {
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -12,8 +12,10 @@
 /** One proxy's stream: what the proxy is known to hold, what is under way to it, and what it is still owed. */
 public final class Holder {
     public final int id;
-    /** Its stream takes changes; else the whole state of a kind each time. */
+    /** It takes changes; else the whole state of a kind each time. */
     public final boolean deltas;
+    /** It takes changes of all kinds in one edit. */
+    final boolean edits;
     /** What the front needs to reach it. */
     public final Object stream;
     /** Versions acknowledged, or told by the proxy when it dialled. */
@@ -42,9 +44,20 @@
     /** After a refusal, at most so many names go in one message until one gets through. */
     int atMost = Integer.MAX_VALUE;
 
-    public Holder(int id, boolean deltas, Object stream) {
+    /** How a proxy takes what it is sent. */
+    public enum Form {
+        /** Changes, kind by kind. */
+        CHANGES,
+        /** The whole state of a kind each time. */
+        WHOLE,
+        /** Changes of all kinds in one edit, taken or left as a whole; one edit at a time. */
+        EDITS
+    }
+
+    public Holder(int id, Form form, Object stream) {
         this.id = id;
-        this.deltas = deltas;
+        this.deltas = form != Form.WHOLE;
+        this.edits = form == Form.EDITS;
         this.stream = stream;
         for (Kind kind : Kind.values()) {
             owed.put(kind, new LinkedHashMap<>());
--- a/src/main/java/sprucelanding/delivery/Message.java
+++ b/src/main/java/sprucelanding/delivery/Message.java
@@ -10,6 +10,7 @@
 public final class Message {
     public final long id;
     public final Holder to;
+    /** Null for an edit, which may hold names of all kinds. */
     public final Kind kind;
     public final boolean whole;
     public final List<Item> items;
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -88,6 +88,12 @@
     private final Recorder toWritten = new Recorder(3_600_000_000L, 3);
     private final Recorder toAck = new Recorder(3_600_000_000L, 3);
     private double longestRound;
+    /** Lines that Choice's model of the channel holds: the most, and how far above and below those unanswered. */
+    private double modelMost;
+    private double modelOver;
+    private double modelUnder;
+    private boolean answered;
+    private boolean receipted;
     private final double wallOffset = System.currentTimeMillis() - Loop.now();
     /** When the moment of each receipt was. */
     private final double[] momentOf = new double[65_536];
@@ -268,6 +274,7 @@
     public boolean answered(Holder holder, long message, String refusal) {
         return loop.hand(() -> {
             delivery.clock(Loop.now());
+            answered = true;
             if (refusal == null) {
                 delivery.acked(holder, message);
             } else {
@@ -337,8 +344,14 @@
                 .addKeyValue("ackedUsMax", acked.getMaxValue())
                 .addKeyValue("unansweredLines", delivery.unanswered())
                 .addKeyValue("mostUnansweredLines", delivery.mostUnanswered())
+                .addKeyValue("modelMostLines", Math.round(modelMost))
+                .addKeyValue("modelOverLines", Math.round(modelOver))
+                .addKeyValue("modelUnderLines", Math.round(modelUnder))
                 .addKeyValue("longestRoundMs", Math.round(longestRound * 10) / 10.0).log();
         longestRound = 0;
+        modelMost = 0;
+        modelOver = 0;
+        modelUnder = 0;
     }
 
     /** Runs a step on the core's thread; false if the core is full. */
@@ -352,12 +365,23 @@
         pull(() -> admission.decide(does));
         choice.clock(moment);
         ordered = false;
-        pull(() -> choice.decide(hand));
         delivery.clock(moment);
-        if (ordered) {
-            delivery.momentEnds();
+        do { // a receipt makes room for what waited
+            receipted = false;
+            pull(() -> choice.decide(hand));
+            if (ordered) {
+                delivery.momentEnds();
+            }
+            pull(() -> delivery.decide(does));
+        } while (receipted);
+        if (ordered || answered) { // how far the gate's model of the channel is from what really waits
+            answered = false;
+            double model = choice.waiting();
+            int real = delivery.unanswered();
+            modelMost = Math.max(modelMost, model);
+            modelOver = Math.max(modelOver, model - real);
+            modelUnder = Math.max(modelUnder, real - model);
         }
-        pull(() -> delivery.decide(does));
         longestRound = Math.max(longestRound, Loop.now() - moment);
     }
 
@@ -484,7 +508,7 @@
         @Override
         public void inForce(Holder holder, int serial) {
             toAck.recordValue((long) Math.max(0, (Loop.now() - momentOf[serial & 0xffff]) * 1000));
-            choice.clock(Loop.now());
+            receipted = true;
             choice.inForce(serial);
         }
 
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -386,6 +386,9 @@
     }
 
     private void dial() {
+        if (doors.isEmpty()) {
+            return; // no governors on this day
+        }
         if (alone) {
             redial();
             return;
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -119,7 +119,7 @@
             throw Status.RESOURCE_EXHAUSTED.withDescription("too many proxies").asRuntimeException();
         }
         number = known;
-        holder = new Holder(known, deltas, this);
+        holder = new Holder(known, deltas ? Holder.Form.CHANGES : Holder.Form.WHOLE, this);
         Value usual = node.getMetadata().getFieldsOrDefault("txns_per_s", Value.getDefaultInstance());
         double rate = usual.getNumberValue() >= 0 && usual.getNumberValue() < 1e6 ? usual.getNumberValue() : 0;
         Holder h = holder;
--- a/src/test/java/sprucelanding/delivery/DeliveryTest.java
+++ b/src/test/java/sprucelanding/delivery/DeliveryTest.java
@@ -212,7 +212,7 @@
     void theCapOnMessagesHoldsAndLeavesRoomForRemovals() {
         FakeProxies capped = new FakeProxies();
         Delivery delivery = new Delivery(8, 10_000, 3000, 15_000, 4000);
-        Holder h = new Holder(7, true, null);
+        Holder h = new Holder(7, Holder.Form.CHANGES, null);
         delivery.clock(0);
         for (Kind kind : Kind.values()) {
             delivery.subscribed(h, kind, 0);
@@ -254,7 +254,7 @@
 
     @Test
     void aWholeStateStreamGetsItsTableAgainWithoutTheReplica() {
-        Holder h = new Holder(7, false, null);
+        Holder h = new Holder(7, Holder.Form.WHOLE, null);
         host.holders.put(7, h);
         host.held.put(7, new LinkedHashMap<>());
         host.delivery.clock(host.now);
--- a/src/test/java/sprucelanding/delivery/FakeProxies.java
+++ b/src/test/java/sprucelanding/delivery/FakeProxies.java
@@ -19,7 +19,7 @@
 
     /** A proxy on a delta stream that asks for all there is, with what it holds from before. */
     Holder dials(int id, Map<Name, String> before) {
-        Holder h = new Holder(id, true, null);
+        Holder h = new Holder(id, Holder.Form.CHANGES, null);
         holders.put(id, h);
         held.put(id, new LinkedHashMap<>(before));
         delivery.clock(now);
