--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -4,11 +4,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.GeneralSecurityException;
+import java.security.KeyPair;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -18,6 +22,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.sshd.common.config.keys.PublicKeyEntry;
+import org.apache.sshd.common.config.keys.writer.openssh.OpenSSHKeyPairResourceWriter;
 import sprucelanding.loop.Loop;
 import sprucelanding.roster.Entry;
 import sprucelanding.rules.Judge;
@@ -26,6 +32,7 @@
 import sprucelanding.rules.Tape;
 import sprucelanding.rules.Verdict;
 import sprucelanding.standin.ClientStand;
+import sprucelanding.standin.DeviceStand;
 import sprucelanding.standin.Links;
 import sprucelanding.standin.ProxyStand;
 import sprucelanding.standin.Relay;
@@ -65,6 +72,11 @@
     private final List<GovernorProcess> governors = new ArrayList<>();
     /** By governor, then by zone of the proxies. */
     private final List<List<Relay>> relays = new ArrayList<>();
+    /** The same for devices. */
+    private final List<List<Relay>> callRelays = new ArrayList<>();
+    private final List<DeviceStand> devices = new ArrayList<>();
+    private final List<KeyPair> hostKeys = new ArrayList<>();
+    private KeyPair ownKey;
     private final SplittableRandom chance;
     private RosterStand roster;
     private double rateNow = 1;
@@ -104,6 +116,9 @@
             for (GovernorProcess g : governors) {
                 g.stop();
             }
+            for (DeviceStand d : devices) {
+                d.stop();
+            }
             for (Loop loop : List.of(rosterLoop, replicaLoops[0], replicaLoops[1], proxyLoops[0], proxyLoops[1],
                     clientLoop, relayLoop)) {
                 loop.close();
@@ -132,6 +147,8 @@
         }
         on(rosterLoop, roster::start);
         on(rosterLoop, () -> roster.learns(replicas, Entry.Stage.READY, 0));
+        int devicesFrom = script.proxies().count() - (int) Math.round(script.proxies().devices() * script.proxies().count());
+        pins(devicesFrom);
         int count = whose == Tables.governors ? script.governors().count() : 0;
         List<Integer> peerPorts = new ArrayList<>();
         for (int g = 0; g < count; g++) {
@@ -143,8 +160,9 @@
             int governor = g;
             on(rosterLoop, () -> roster.governor(from, governor));
             int port = free();
+            int calls = free();
             GovernorProcess p = new GovernorProcess(g, zone, port, folder,
-                    station(g, port, rosterPort, from, peerPorts, zones, kinds));
+                    station(g, port, calls, rosterPort, from, peerPorts, zones, kinds));
             governors.add(p);
             p.start();
             List<Relay> byZone = new ArrayList<>();
@@ -154,6 +172,13 @@
                         () -> links.open(near, p.zone))));
             }
             relays.add(byZone);
+            List<Relay> callsByZone = new ArrayList<>();
+            for (int z = 0; z < zones.size(); z++) {
+                int near = z;
+                callsByZone.add(called(relayLoop, () -> new Relay(relayLoop, new InetSocketAddress("127.0.0.1", calls),
+                        () -> links.open(near, p.zone))));
+            }
+            callRelays.add(callsByZone);
         }
         for (GovernorProcess p : governors) {
             p.ready();
@@ -170,12 +195,18 @@
         for (int i = 0; i < weights.length; i++) {
             int zone = i % zones.size();
             double usual = script.txns() * weights[i] / sum;
+            boolean takesEdits = i >= devicesFrom;
             boolean state = i < script.proxies().stateOfTheWorld() * weights.length;
             ProxyStand p = new ProxyStand(proxyLoops[i % 2], transport, i, zone, zones.get(zone), usual, products,
-                    doors(zone, i), new ProxyStand.Manner(script.proxies().pick(), script.proxies().ejectsAfter(),
+                    doors(zone, i, takesEdits ? callRelays : relays), new ProxyStand.Manner(script.proxies().pick(), script.proxies().ejectsAfter(),
                     script.proxies().ejectsFor(), 250, 100, 1500, !state), links.from(3, zone, i), tape,
                     script.seed() * 2000 + i);
             proxies.add(p);
+            if (takesEdits) {
+                devices.add(new DeviceStand("proxy-" + i, zones.get(zone), usual, ownKey.getPublic(),
+                        hostKeys.get(i - devicesFrom)));
+                p.device(devices.get(devices.size() - 1));
+            }
             List<InetSocketAddress> standing = standing(zone);
             on(proxyLoops[i % 2], () -> p.start(standing));
             clients.add(new ClientStand(clientLoop, p.port(), wares, () -> usual * rateNow, script.clients().retries(),
@@ -183,6 +214,29 @@
         }
     }
 
+    /** Keys and pins of the devices, in the files that governors read. */
+    private void pins(int devicesFrom) throws IOException {
+        if (devicesFrom == script.proxies().count()) {
+            return;
+        }
+        ownKey = DeviceStand.key();
+        Path file = folder.resolve("governors-key");
+        Files.deleteIfExists(file);
+        Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+        StringBuilder lines = new StringBuilder();
+        try (OutputStream out = Files.newOutputStream(file)) {
+            OpenSSHKeyPairResourceWriter.INSTANCE.writePrivateKey(ownKey, "governors", null, out);
+        } catch (GeneralSecurityException e) {
+            throw new IOException(e);
+        }
+        for (int i = devicesFrom; i < script.proxies().count(); i++) {
+            KeyPair key = DeviceStand.key();
+            hostKeys.add(key);
+            lines.append("proxy-").append(i).append(' ').append(PublicKeyEntry.toString(key.getPublic())).append('\n');
+        }
+        Files.writeString(folder.resolve("devices"), lines);
+    }
+
     private int kind(int i) {
         double x = (i * 0.6180339887 + 0.5) % 1;
         int kind = 0;
@@ -193,12 +247,12 @@
     }
 
     /** Governors of its own zone first. */
-    private List<ProxyStand.Door> doors(int zone, int seed) {
+    private List<ProxyStand.Door> doors(int zone, int seed, List<List<Relay>> ways) {
         List<ProxyStand.Door> near = new ArrayList<>();
         List<ProxyStand.Door> far = new ArrayList<>();
         for (GovernorProcess g : governors) {
             (g.zone == zone ? near : far)
-                    .add(new ProxyStand.Door(g.number, relays.get(g.number).get(zone).port()));
+                    .add(new ProxyStand.Door(g.number, ways.get(g.number).get(zone).port()));
         }
         Collections.shuffle(far, new Random(seed));
         near.addAll(far);
@@ -213,7 +267,7 @@
         return all.subList(0, n).stream().map(ReplicaStand::at).toList();
     }
 
-    private String station(int g, int port, int rosterPort, InetAddress from, List<Integer> peers,
+    private String station(int g, int port, int calls, int rosterPort, InetAddress from, List<Integer> peers,
             List<String> zones, List<String> kinds) {
         Script.Governors c = script.governors();
         StringBuilder text = new StringBuilder();
@@ -227,6 +281,11 @@
             text.append(w.kinds().isEmpty() ? "},\n" : ", kinds: " + strings(w.kinds()) + "},\n");
         }
         text.append("]\nxds: at: \"127.0.0.1:").append(port).append("\"\n");
+        if (ownKey != null) {
+            text.append("netconf: {at: \"127.0.0.1:").append(calls).append("\", key: \"")
+                    .append(folder.resolve("governors-key")).append("\", devices: \"").append(folder.resolve("devices"))
+                    .append("\"}\n");
+        }
         text.append(String.format(Locale.ROOT, "roster: {at: \"127.0.0.1:%d\", from: \"%s\", coldFrom: %.4f, "
                 + "warmAfter: %.0fms, keep: \"%s\"}%n", rosterPort, from.getHostAddress(),
                 script.replicas().coldFrom(), script.replicas().warmAfter(), folder.resolve("list-" + g + ".json")));
@@ -313,6 +372,18 @@
         all.forEach(p -> loop(p).hand(() -> what.accept(p)));
     }
 
+    /** Each on the loop of the proxy whose management side it is. */
+    private void devices(Script.Trouble t, java.util.function.Consumer<DeviceStand> what) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < devices.size(); i++) {
+            all.add(i);
+        }
+        Collections.shuffle(all, new Random(chance.nextLong()));
+        int first = proxies.size() - devices.size();
+        all.subList(0, (int) Math.min(all.size(), Math.max(1, Math.round(t.part() * all.size()))))
+                .forEach(i -> loop(proxies.get(first + i)).hand(() -> what.accept(devices.get(i))));
+    }
+
     private void strike(Script.Trouble t) {
         System.err.printf(Locale.ROOT, "%s%s, part %.2f, size %.2f, for %.1f s%n", t.what(),
                 t.zone() == null ? "" : " in " + t.zone(), t.part(), t.size(), t.lasts() / 1000);
@@ -381,6 +452,9 @@
                             g -> g.signal("STOP"), g -> g.signal("CONT")));
                 }
             }
+            case "lockHeld" -> devices(t, d -> d.locked(t.lasts()));
+            case "mute" -> devices(t, d -> d.mute((int) t.size()));
+            case "drift" -> devices(t, DeviceStand::drifts);
             case "midUpdate" -> {
                 if (!relays.isEmpty()) {
                     Relay r = relays.get(chance.nextInt(relays.size())).get(chance.nextInt(script.zones().size()));
@@ -404,6 +478,7 @@
 
     private void look() {
         relays.forEach(all -> all.forEach(r -> relayLoop.hand(r::look)));
+        callRelays.forEach(all -> all.forEach(r -> relayLoop.hand(r::look)));
     }
 
     private void crash(List<ReplicaStand> dead, double lasts) {
--- a/src/main/java/sprucelanding/day/Measure.java
+++ b/src/main/java/sprucelanding/day/Measure.java
@@ -11,9 +11,14 @@
     private final int replicas;
     private final double lasts;
     private final int slow;
+    private final double devices;
 
-    /** @param slow proxies that read nothing from the third second on */
-    public Measure(int proxies, int replicas, double lasts, int slow) {
+    /**
+     * @param slow proxies that read nothing from the third second on
+     * @param devices share of the proxies that take NETCONF edits
+     */
+    public Measure(int proxies, int replicas, double lasts, int slow, double devices) {
+        this.devices = devices;
         this.proxies = proxies;
         this.replicas = replicas;
         this.lasts = lasts;
@@ -33,7 +38,7 @@
                 List.of(new Script.Kind("fast", 1, 1.2, 4, 16, 0.5), new Script.Kind("slow", 1, 0.7, 4, 16, 0.5)),
                 List.of(new Script.Ware("read", 0.75, work, 2500, 5000, 1, "safe", List.of()),
                         new Script.Ware("sign", 0.25, work, 2500, 5000, 2, "once", List.of())),
-                new Script.Replicas(replicas, 0.25, 12_000, 600), new Script.Proxies(proxies, 6, 0, "two", 5, 4000),
+                new Script.Replicas(replicas, 0.25, 12_000, 600), new Script.Proxies(proxies, 6, devices, 0, "two", 5, 4000),
                 new Script.Governors(1, 30_000, 6, 60_000, 0, 10_000), TXNS, new Script.Clients(2, 100, 0.8),
                 new Script.Roster(2000, 500), new Script.Rules(4000, 6000, 3, 2000), troubles);
         return new Day(script, lasts, Day.Tables.governors, null).play().table();
--- a/src/main/java/sprucelanding/day/Script.java
+++ b/src/main/java/sprucelanding/day/Script.java
@@ -16,7 +16,7 @@
     public record Replicas(int count, double coldFrom, double warmAfter, int connections) {
     }
 
-    public record Proxies(int count, int standing, double stateOfTheWorld, String pick, int ejectsAfter,
+    public record Proxies(int count, int standing, double devices, double stateOfTheWorld, String pick, int ejectsAfter,
             double ejectsFor) {
     }
 
--- a/src/main/java/sprucelanding/edits/Edits.java
+++ b/src/main/java/sprucelanding/edits/Edits.java
@@ -17,6 +17,8 @@
     public enum Op {
         /** Read what it holds of ours in the running datastore. */
         READ,
+        /** Asks to be notified of what it meets and of what others change (RFC 5277). */
+        SUBSCRIBE,
         LOCK, EDIT, VALIDATE,
         /** Commit that the device takes back by itself unless it is confirmed in time. */
         TRY_COMMIT,
@@ -26,7 +28,8 @@
     }
 
     /** What a device can do (RFC 6241, section 8). */
-    public record Abilities(boolean candidate, boolean confirmed, boolean validates, boolean writesRunning) {
+    public record Abilities(boolean candidate, boolean confirmed, boolean validates, boolean writesRunning,
+            boolean notifies) {
     }
 
     public interface Acts {
@@ -167,7 +170,7 @@
                 locked = false;
                 next = null;
             }
-            case READ -> { }
+            case READ, SUBSCRIBE -> { }
         }
     }
 
@@ -199,6 +202,10 @@
             drops("it cannot be read: " + why);
             return;
         }
+        if (op == Op.SUBSCRIBE) {
+            due.add(() -> acts.note("a device does not notify", "why", why));
+            return;
+        }
         if (op == Op.UNLOCK || op == Op.DISCARD) {
             locked = false;
             next = null;
@@ -221,6 +228,7 @@
         reads = false;
         boolean first = !known;
         known = true;
+        boolean subscribes = first && can.notifies;
         if (unclear && wanted != null) {
             unclear = false;
             if (holds(versions, wanted)) {
@@ -233,6 +241,9 @@
         } else if (takenBackBy <= now) {
             takenBackBy = 0;
         }
+        if (subscribes && next == null) {
+            next = Op.SUBSCRIBE;
+        }
         if (first || wanted == null) {
             Map<Name, String> copy = new HashMap<>(versions);
             due.add(() -> acts.holds(copy));
--- a/src/main/java/sprucelanding/program/Build.java
+++ b/src/main/java/sprucelanding/program/Build.java
@@ -1,5 +1,6 @@
 package sprucelanding.program;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.BitSet;
@@ -10,12 +11,21 @@
 import sprucelanding.delivery.Delivery;
 import sprucelanding.governor.Governor;
 import sprucelanding.intake.Intake;
+import sprucelanding.netconf.Keys;
+import sprucelanding.netconf.NetconfFront;
 import sprucelanding.xds.XdsFront;
 
 /** Puts a governor together from what it is told. */
 public final class Build {
-    /** A governor and its xDS front, not started. */
-    public record Built(Governor governor, XdsFront xds) {
+    /** A governor and its fronts, not started; netconf is null where there is none. */
+    public record Built(Governor governor, XdsFront xds, NetconfFront netconf) {
+        public void start(double every) throws IOException {
+            governor.start(every);
+            xds.start();
+            if (netconf != null) {
+                netconf.start();
+            }
+        }
     }
 
     private Build() {
@@ -54,7 +64,14 @@
         XdsFront xds = new XdsFront(governor, governor, s.name(), address(s.xds().at(), "xds.at"), s.xds().largest(),
                 s.reports().every());
         governor.front(xds);
-        return new Built(governor, xds);
+        Station.Calls n = s.netconf();
+        NetconfFront netconf = n == null ? null : new NetconfFront(governor, governor, s.name(),
+                address(n.at(), "netconf.at"), new Keys(Path.of(n.key()), Path.of(n.devices())), n.user(), n.largest(),
+                new NetconfFront.Patience(n.answers(), n.confirms(), n.locks()));
+        if (netconf != null) {
+            governor.front(netconf);
+        }
+        return new Built(governor, xds, netconf);
     }
 
     /** A moment's orders become two responses at most on an ordinary path: lines, and the route. */
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -48,8 +48,7 @@
                 LOG.atInfo().setMessage("stops").log();
                 built.governor().close();
             }));
-            built.governor().start(station.reports().every());
-            built.xds().start();
+            built.start(station.reports().every());
             Thread.currentThread().join();
             return 0;
         }
@@ -117,12 +116,14 @@
         private int replicas;
         @Option(names = "--seconds", defaultValue = "20")
         private double seconds;
+        @Option(names = "--devices", description = "share of the proxies that take NETCONF edits", defaultValue = "0")
+        private double devices;
         @Option(names = "--slow", description = "so many proxies read nothing", defaultValue = "0")
         private int slow;
 
         @Override
         public Integer call() throws Exception {
-            System.out.print(new Measure(proxies, replicas, seconds * 1000, slow).run());
+            System.out.print(new Measure(proxies, replicas, seconds * 1000, slow, devices).run());
             return 0;
         }
     }
--- a/src/main/java/sprucelanding/program/Station.java
+++ b/src/main/java/sprucelanding/program/Station.java
@@ -4,7 +4,7 @@
 
 /** What a governor is told at its start; station.cue says what each is, with its bounds. Times in ms. */
 public record Station(String name, long seed, List<String> zones, List<String> kinds, List<Ware> products,
-        String admits, Berth xds, Listed roster, Channel channel, Streams streams, Reports reports, Probes probes,
+        String admits, Berth xds, Calls netconf, Listed roster, Channel channel, Streams streams, Reports reports, Probes probes,
         Peers peers) {
     public record Ware(String name, String retry, double sla, double revenue, List<String> kinds, List<String> zones,
             boolean homeOnly) {
@@ -13,6 +13,10 @@
     public record Berth(String at, int largest) {
     }
 
+    public record Calls(String at, String key, String devices, String user, int largest, double answers,
+            double confirms, double locks) {
+    }
+
     public record Listed(String at, String from, boolean pushed, boolean softRemoval, double coldFrom,
             double warmAfter, String keep) {
     }
--- a/src/main/java/sprucelanding/standin/LoadPeer.java
+++ b/src/main/java/sprucelanding/standin/LoadPeer.java
@@ -95,6 +95,29 @@
         out.onNext(LoadStatsRequest.newBuilder().setNode(node).build());
     }
 
+    /** The same as a NETCONF notification's content, by the replicas' ids; what has no id is left out. */
+    String notified(Map<InetSocketAddress, Long> ids) {
+        double span = Math.max(1, Loop.now() - since);
+        since = Loop.now();
+        StringBuilder text = new StringBuilder("<met xmlns=\"urn:sprucelanding:proxy\"><span-ms>").append(span)
+                .append("</span-ms>");
+        met.forEach((at, m) -> {
+            if (ids.containsKey(at)) {
+                text.append("<replica><id>").append(ids.get(at)).append("</id><issued>").append(m.issued)
+                        .append("</issued><settled>").append(m.settled).append("</settled><voided>").append(m.voided)
+                        .append("</voided><answer-ms>").append(m.answers).append("</answer-ms><util>").append(m.loads)
+                        .append("</util><told>").append(m.told).append("</told></replica>");
+            }
+        });
+        for (int k = 0; k < came.length; k++) {
+            text.append("<came><product>").append(products.get(k)).append("</product><txns>").append(came[k])
+                    .append("</txns></came>");
+            came[k] = 0;
+        }
+        met.clear();
+        return text.append("</met>").toString();
+    }
+
     void close() {
         closed = true;
         out = null;
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -1,9 +1,6 @@
 package sprucelanding.standin;
 
-import io.grpc.ManagedChannel;
-import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
-import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -15,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import sprucelanding.loop.Conn;
 import sprucelanding.loop.Http;
 import sprucelanding.loop.Loop;
@@ -228,8 +224,8 @@
     private int port;
     private int door;
     private int dials;
-    private XdsPeer peer;
-    private ManagedChannel channel;
+    private Side peer;
+    private DeviceStand device;
     private boolean joined;
     private boolean down = true;
     private boolean alone;
@@ -258,10 +254,18 @@
         this.loads = new LoadPeer(loop, XdsPeer.node(name, zoneName, usual), products);
     }
 
+    /** From its next dialling on it is a device that takes NETCONF edits. */
+    public void device(DeviceStand device) {
+        this.device = device;
+    }
+
     /** Starts with standing lines to these, and dials its first governor. */
     public void start(List<InetSocketAddress> standing) {
         down = false;
         tables = new Tables();
+        if (device != null) {
+            device.reboots();
+        }
         standing.forEach(at -> tables.standing.add(new Line("", at, 1, true)));
         server = loop.listen(new InetSocketAddress("127.0.0.1", port), 64, c -> {
             Conn conn = loop.adopt(c, 65_536, new Conn.Listener() {
@@ -365,15 +369,10 @@
             tape.saw(new Seen.Left(Loop.now(), number));
         }
         dials++;
-        loads.close();
         if (peer != null) {
             peer.close();
             peer = null;
         }
-        if (channel != null) {
-            channel.shutdownNow();
-            channel = null;
-        }
     }
 
     private void redial() {
@@ -394,11 +393,8 @@
             return;
         }
         Door to = doors.get(door % doors.size());
-        channel = NettyChannelBuilder.forAddress("127.0.0.1", to.port).usePlaintext().eventLoopGroup(transport)
-                .channelType(NioSocketChannel.class).directExecutor().keepAliveTime(2, TimeUnit.SECONDS)
-                .keepAliveTimeout(1, TimeUnit.SECONDS).maxInboundMessageSize(16 << 20).build();
         int dial = dials;
-        peer = new XdsPeer(loop, name, zoneName, usual, deltas, tables, new XdsPeer.Heard() {
+        Side.Heard heard = new Side.Heard() {
             private void message(String type, long nonce, int lines) {
                 double now = Loop.now();
                 if (!joined) {
@@ -406,8 +402,8 @@
                     tape.saw(new Seen.Joined(now, number, to.governor));
                 }
                 messages++;
-                tape.saw(new Seen.Message(now, number, to.governor, "xds", type.substring(type.lastIndexOf('.') + 1),
-                        nonce, lines));
+                tape.saw(new Seen.Message(now, number, to.governor, device == null ? "xds" : "netconf",
+                        type.substring(type.lastIndexOf('.') + 1), nonce, lines));
             }
 
             @Override
@@ -436,12 +432,13 @@
                     redial();
                 }
             }
-        });
+        };
+        peer = device != null ? device.side(loop, to.port, tables, loads, heard)
+                : new XdsPeer(loop, transport, to.port, XdsPeer.node(name, zoneName, usual), deltas, tables, loads, heard);
         peer.answersAfter(answersAfter);
         peer.rejects(rejects);
-        peer.open(channel);
+        peer.open();
         peer.readsNothing(readsNothing);
-        loads.open(channel);
     }
 
     private void picks() {
--- /dev/null
+++ b/src/main/java/sprucelanding/standin/Side.java
@@ -0,0 +1,28 @@
+package sprucelanding.standin;
+
+/** A proxy's side towards governors: one stream or session, by which it is told its tables. All calls on its loop. */
+interface Side {
+    /** What the proxy hears of it. */
+    interface Heard {
+        /** A message was put into force. */
+        void applied(String kind, long nonce, int lines);
+
+        void rejected(String kind, long nonce);
+
+        void broke(String why);
+
+        void answered(long nonce, boolean refused);
+    }
+
+    void open();
+
+    void close();
+
+    /** It answers so many ms late. */
+    void answersAfter(double ms);
+
+    /** It rejects the next messages. */
+    void rejects(int messages);
+
+    void readsNothing(boolean on);
+}
--- a/src/main/java/sprucelanding/standin/XdsPeer.java
+++ b/src/main/java/sprucelanding/standin/XdsPeer.java
@@ -21,6 +21,9 @@
 import io.envoyproxy.envoy.service.discovery.v3.DiscoveryResponse;
 import io.envoyproxy.envoy.service.discovery.v3.Resource;
 import io.grpc.ManagedChannel;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel;
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
 import java.net.InetSocketAddress;
@@ -31,32 +34,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import sprucelanding.loop.Loop;
 
 /**
  * The xDS side of a plain proxy: one aggregated stream, delta or state of the world, whose resources it puts into tables and
  * acknowledges. It can answer late, reject, or read nothing. Runs on its loop; the transport hands over.
  */
-final class XdsPeer {
+final class XdsPeer implements Side {
     static final String TYPES = "type.googleapis.com/";
     static final String CDS = TYPES + Cluster.getDescriptor().getFullName();
     static final String EDS = TYPES + ClusterLoadAssignment.getDescriptor().getFullName();
     static final String LEDS = TYPES + LbEndpoint.getDescriptor().getFullName();
     static final String RDS = TYPES + RouteConfiguration.getDescriptor().getFullName();
 
-    /** What the proxy hears of its stream. */
-    interface Heard {
-        /** A message was put into force. */
-        void applied(String type, long nonce, int lines);
-
-        void rejected(String type, long nonce);
-
-        void broke(String why);
-
-        void answered(long nonce, boolean refused);
-    }
-
     private final Loop loop;
+    private final ManagedChannel channel;
+    private final LoadPeer loads;
     private final Tables tables;
     private final Heard heard;
     private final Node node;
@@ -73,12 +67,17 @@
     private int unread;
     private boolean closed;
 
-    XdsPeer(Loop loop, String name, String zone, double usual, boolean deltas, Tables tables, Heard heard) {
+    XdsPeer(Loop loop, NioEventLoopGroup transport, int port, Node node, boolean deltas, Tables tables, LoadPeer loads,
+            Heard heard) {
         this.loop = loop;
+        this.channel = NettyChannelBuilder.forAddress("127.0.0.1", port).usePlaintext().eventLoopGroup(transport)
+                .channelType(NioSocketChannel.class).directExecutor().keepAliveTime(2, TimeUnit.SECONDS)
+                .keepAliveTimeout(1, TimeUnit.SECONDS).maxInboundMessageSize(16 << 20).build();
+        this.loads = loads;
         this.tables = tables;
         this.heard = heard;
         this.deltas = deltas;
-        this.node = node(name, zone, usual);
+        this.node = node;
     }
 
     static Node node(String name, String zone, double usual) {
@@ -123,8 +122,10 @@
         }
     }
 
+    @Override
     @SuppressWarnings("unchecked")
-    void open(ManagedChannel channel) {
+    public void open() {
+        loads.open(channel);
         AggregatedDiscoveryServiceGrpc.AggregatedDiscoveryServiceStub stub =
                 AggregatedDiscoveryServiceGrpc.newStub(channel);
         if (deltas) {
@@ -157,22 +158,28 @@
         }
     }
 
-    void close() {
+    @Override
+    public void close() {
         closed = true;
+        loads.close();
         if (out != null) {
             out.cancel("closed", null);
         }
+        channel.shutdownNow();
     }
 
-    void answersAfter(double ms) {
+    @Override
+    public void answersAfter(double ms) {
         answersAfter = ms;
     }
 
-    void rejects(int messages) {
+    @Override
+    public void rejects(int messages) {
         rejects = messages;
     }
 
-    void readsNothing(boolean on) {
+    @Override
+    public void readsNothing(boolean on) {
         readsNothing = on;
         if (!on && out != null && unread > 0) {
             out.request(unread);
--- a/src/main/resources/sprucelanding/day/day.cue
+++ b/src/main/resources/sprucelanding/day/day.cue
@@ -27,7 +27,7 @@
 	what: "crash" | "hang" | "slow" | "errors" | "pauses" | "neighbour" | "flapping" | "ageing" | "connections" |
 		"oneSided" | "wrongList" | "lateList" | "listGone" | "zoneCut" | "zoneLoss" | "burst" | "shrink" |
 		"proxyCrash" | "governorCrash" | "governorPause" | "governorStall" | "alone" |
-		"midUpdate" | "lateAck" | "reject" | "readsNothing"
+		"lockHeld" | "mute" | "drift" | "midUpdate" | "lateAck" | "reject" | "readsNothing"
 	part: share & >0 & <=1 | *10%
 	size: number & >=0 | *1
 	zone?: string
@@ -49,6 +49,7 @@
 	proxies: {
 		count: int & >=1 & <=400
 		standing: int & >=1 | *6
+		devices: share | *0% // take NETCONF edits, the others speak xDS
 		stateOfTheWorld: share | *25% // the others take changes
 		pick: "weighted" | "round" | "two" | *"two"
 		ejectsAfter: int & >=0 | *5
--- a/src/main/resources/sprucelanding/program/station.cue
+++ b/src/main/resources/sprucelanding/program/station.cue
@@ -24,6 +24,16 @@
 		at: #Address // host:port
 		largest: int & >=1024 & <=64000000 | *1048576 // bytes of a message from a proxy
 	}
+	netconf?: {
+		at: #Address // where devices dial in (Call Home)
+		key: string // file of the own private key, mode 600
+		devices: string // file of pinned host keys, a line each: name, then the public key as OpenSSH writes it
+		user: string | *"sprucelanding"
+		largest: int & >=1024 & <=64000000 | *1048576 // bytes of a message from a device
+		answers: time & >0 | *3s // until an operation counts as unanswered
+		confirms: time & >=1s | *5s // until a device takes back a commit on trial
+		locks: time & >0 | *10s // until a lock held by others is given up
+	}
 	roster: {
 		at: #Address
 		from?: string // own address to dial from
