--- a/src/test/java/sprucelanding/PackagesTest.java
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -19,8 +19,10 @@
                 .layer("module").definedBy("sprucelanding")
                 .layer("loop").definedBy("sprucelanding.loop")
                 .layer("decisions").definedBy("sprucelanding.delivery", "sprucelanding.intake", "sprucelanding.roster")
+                .layer("edits").definedBy("sprucelanding.edits")
+                .layer("markup").definedBy("sprucelanding.markup")
                 .layer("governor").definedBy("sprucelanding.governor")
-                .layer("fronts").definedBy("sprucelanding.xds")
+                .layer("fronts").definedBy("sprucelanding.xds", "sprucelanding.netconf")
                 .layer("rules").definedBy("sprucelanding.rules")
                 .layer("stands").definedBy("sprucelanding.standin")
                 .layer("day").definedBy("sprucelanding.day")
@@ -31,7 +33,10 @@
                 .whereLayer("rules").mayOnlyBeAccessedByLayers("stands", "day")
                 .whereLayer("fronts").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("governor").mayOnlyBeAccessedByLayers("fronts", "program")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("governor", "fronts", "program", "stands", "day")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("edits", "governor", "fronts", "program", "stands",
+                        "day")
+                .whereLayer("edits").mayOnlyBeAccessedByLayers("fronts")
+                .whereLayer("markup").mayOnlyBeAccessedByLayers("fronts", "stands")
                 .whereLayer("module").mayOnlyBeAccessedByLayers("governor", "fronts", "program")
                 .check(all);
     }
@@ -39,7 +44,7 @@
     @Test
     void whatDecidesDoesNoInputOrOutputAndHasNoClock() {
         ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.delivery",
-                "sprucelanding.intake", "sprucelanding.roster").should().dependOnClassesThat()
+                "sprucelanding.intake", "sprucelanding.roster", "sprucelanding.edits").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                         "io.grpc..", "org.slf4j..")
                 .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
