--- a/src/main/java/sprucelanding/delivery/Catalogue.java
+++ b/src/main/java/sprucelanding/delivery/Catalogue.java
@@ -12,9 +12,9 @@
 final class Catalogue {
     static final class Sheet {
         final int number;
-        final Map<Long, Item> lines = new LinkedHashMap<>();
+        final Map<Name, Item> lines = new LinkedHashMap<>();
         /** The same, for proxies that hold one and must let it drain. */
-        final Map<Long, Item> draining = new TreeMap<>();
+        final Map<Name, Item> draining = new LinkedHashMap<>();
         /** All that are not withdrawn, for whole-state streams; null once that may have changed. */
         Item whole;
         /** By product: what is let in, and the retry mode. */
@@ -38,22 +38,20 @@
     }
 
     /** The line as a proxy on this table should hold it; null for none. A withdrawn one drains where it is held. */
-    Item line(Name name, boolean held) {
-        Sheet sheet = sheet(name.table());
-        Item line = sheet.lines.get(name.replica());
-        if (line == null || !withdrawn.contains(name.replica())) {
+    Item line(Sheet sheet, Name name, boolean held) {
+        Item line = sheet.lines.get(name);
+        if (line == null || withdrawn.isEmpty() || !withdrawn.contains(name.replica())) {
             return line;
         }
-        return held ? sheet.draining.computeIfAbsent(name.replica(), r -> made(name, weight(line), true)) : null;
+        return held ? sheet.draining.computeIfAbsent(name, n -> made(n, weight(line), true)) : null;
     }
 
     /** Sets a line, 0 removes it; the one before, or null. */
-    Item set(int table, long replica, int weight) {
-        Sheet sheet = sheet(table);
+    Item set(Name line, int weight) {
+        Sheet sheet = sheet(line.table());
         sheet.whole = null;
-        sheet.draining.remove(replica);
-        return weight == 0 ? sheet.lines.remove(replica)
-                : sheet.lines.put(replica, made(Name.line(table, replica), weight, false));
+        sheet.draining.remove(line);
+        return weight == 0 ? sheet.lines.remove(line) : sheet.lines.put(line, made(line, weight, false));
     }
 
     void withdraw(long replica, boolean out) {
@@ -80,8 +78,8 @@
         if (sheet.whole == null) {
             List<Item.Line> lines = new ArrayList<>();
             long sum = 1_125_899_906_842_597L;
-            for (Map.Entry<Long, Item> each : sheet.lines.entrySet()) {
-                if (!withdrawn.contains(each.getKey())) {
+            for (Map.Entry<Name, Item> each : sheet.lines.entrySet()) {
+                if (!withdrawn.contains(each.getKey().replica())) {
                     Item.Line line = each.getValue().lines().get(0);
                     lines.add(line);
                     sum = 31 * (31 * sum + line.replica()) + line.weight();
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -159,7 +159,9 @@
         }
         for (Item item : m.items) {
             h.held.put(item.name(), item.version());
-            h.refused.remove(item.name());
+        }
+        if (!h.refused.isEmpty()) {
+            m.items.forEach(item -> h.refused.remove(item.name()));
         }
         for (Name name : m.gone) {
             forget(h, name);
@@ -199,9 +201,22 @@
 
     // What was ordered.
 
+    /** All that the proxy holds was read: what others have changed is put right, what nobody here wrote is taken away. */
+    public void holdsAll(Holder h, Map<Name, String> versions) {
+        if (h.gone) {
+            return;
+        }
+        Set<Name> all = new LinkedHashSet<>(h.held.keySet());
+        all.addAll(versions.keySet());
+        h.held.clear();
+        h.held.putAll(versions);
+        all.forEach(n -> owe(h, n));
+        unmake(h);
+    }
+
     /** Sets a line; a weight that is not above 0 removes it. */
     public void line(int table, long replica, double weight) {
-        Item before = catalogue.set(table, replica,
+        Item before = catalogue.set(Name.line(table, replica),
                 weight > 0 ? (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))) : 0);
         boolean cut = weight <= 0 && before != null;
         Name line = Name.line(table, replica);
@@ -214,13 +229,11 @@
     }
 
     public void clear(int table) {
-        List<Long> replicas = List.copyOf(catalogue.sheet(table).lines.keySet());
+        List<Name> lines = List.copyOf(catalogue.sheet(table).lines.keySet());
         catalogue.clear(table);
         for (Holder h : holders.values()) {
             if (uses(h, table)) {
-                for (long replica : replicas) {
-                    touch(h, h.deltas ? Name.line(table, replica) : Name.endpoints(table), false);
-                }
+                lines.forEach(line -> touch(h, h.deltas ? line : Name.endpoints(table), false));
             }
         }
     }
@@ -233,7 +246,7 @@
                 List<Name> lines = h.held.keySet().stream()
                         .filter(n -> n.kind() == Kind.LINE && n.replica() == replica).toList();
                 lines.forEach(n -> touch(h, n, out));
-                tables(h).stream().filter(t -> catalogue.sheet(t).lines.containsKey(replica))
+                tables(h).stream().filter(t -> catalogue.sheet(t).lines.containsKey(Name.line(t, replica)))
                         .forEach(t -> touch(h, Name.line(t, replica), out));
             } else {
                 // The whole state has no line alone: the table goes again, and for one not bound yet ours goes early.
@@ -376,7 +389,8 @@
                 var each = owed.next();
                 Name name = each.getKey();
                 Item item = kind == Kind.LINE && uses(h, name.table())
-                        ? catalogue.line(name, h.held.containsKey(name)) : desired(h, name);
+                        ? catalogue.line(catalogue.sheet(name.table()), name, h.held.containsKey(name))
+                        : desired(h, name);
                 owed.remove();
                 String version = item == null ? "" : item.version();
                 if (!version.equals(h.held.getOrDefault(name, "")) && !version.equals(h.refused.get(name))) {
@@ -398,45 +412,51 @@
 
     /** What is owed of a kind and may go now; null if nothing is. */
     private Message message(Holder h, Kind kind) {
-        List<Item> items = new ArrayList<>();
+        LinkedHashMap<Name, Long> owed = h.owed.get(kind);
+        int most = Math.min(MOST_NAMES, h.atMost);
+        List<Item> items = new ArrayList<>(Math.min(most, owed.size()));
         List<Name> gone = new ArrayList<>();
-        Map<Name, Long> settles = new LinkedHashMap<>();
+        LinkedHashMap<Name, Long> later = new LinkedHashMap<>();
         Set<Name> underWay = new HashSet<>();
         if (h.deltas) {
             h.open.values().forEach(m -> underWay.addAll(m.settles.keySet()));
         }
         int table = -1;
-        boolean uses = false;
+        Catalogue.Sheet sheet = null; // of lines of a table that it is on
+        boolean asked = false;
         boolean made = false;
-        var owed = h.owed.get(kind).entrySet().iterator();
-        while (owed.hasNext() && settles.size() < Math.min(MOST_NAMES, h.atMost)) {
-            var each = owed.next();
+        // Most often all that is owed goes: then the names owed become those that the message settles, as they are.
+        var names = owed.entrySet().iterator();
+        while (names.hasNext()) {
+            var each = names.next();
             Name name = each.getKey();
             if (kind == Kind.LINE && name.table() != table) {
                 table = name.table();
-                uses = uses(h, table);
+                sheet = uses(h, table) ? catalogue.sheet(table) : null;
+                asked = h.lines.contains(table);
                 made = h.held.containsKey(Name.endpoints(table));
             }
             String held = h.held.get(name);
-            boolean may = kind == Kind.LINE ? h.lines.contains(table) && (made || held != null) : may(h, name);
-            if (!may || underWay.contains(name)) {
+            boolean may = kind == Kind.LINE ? asked && (made || held != null) : may(h, name);
+            if (!may || items.size() + gone.size() >= most || underWay.contains(name)) {
+                later.put(name, each.getValue());
+                names.remove();
                 continue;
             }
-            Item item = kind == Kind.LINE && uses ? catalogue.line(name, held != null) : desired(h, name);
+            Item item = kind == Kind.LINE && sheet != null ? catalogue.line(sheet, name, held != null) : desired(h, name);
             String version = item == null ? null : item.version();
             boolean same = version == null ? held == null : version.equals(held);
             boolean no = !h.refused.isEmpty() && (version == null ? "" : version).equals(h.refused.get(name));
-            owed.remove();
             if (same || no) {
-                continue;
-            }
-            settles.put(name, each.getValue());
-            if (item == null) {
+                names.remove();
+            } else if (item == null) {
                 gone.add(name);
             } else {
                 items.add(item);
             }
         }
+        h.owed.put(kind, later);
+        Map<Name, Long> settles = owed;
         if (settles.isEmpty()) {
             settled(h);
             return null;
@@ -556,11 +576,10 @@
             touch(h, Name.endpoints(table), false);
             return;
         }
-        Set<Long> all = new HashSet<>(catalogue.sheet(table).lines.keySet());
         if (uses(h, table)) {
-            h.held.keySet().stream().filter(n -> n.kind() == Kind.LINE && n.table() == table)
-                    .forEach(n -> all.add(n.replica()));
-            all.forEach(r -> touch(h, Name.line(table, r), false));
+            Set<Name> all = new LinkedHashSet<>(catalogue.sheet(table).lines.keySet());
+            h.held.keySet().stream().filter(n -> n.kind() == Kind.LINE && n.table() == table).forEach(all::add);
+            all.forEach(n -> touch(h, n, false));
         }
     }
 
--- a/src/main/java/sprucelanding/governor/Core.java
+++ b/src/main/java/sprucelanding/governor/Core.java
@@ -25,6 +25,9 @@
     /** It says that it holds these, by version. */
     boolean holds(Holder holder, Map<Name, String> versions);
 
+    /** The same, and it holds nothing else. */
+    boolean holdsAll(Holder holder, Map<Name, String> versions);
+
     boolean answered(Holder holder, long message, String refusal);
 
     boolean reported(Report report);
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -246,6 +246,11 @@
         });
     }
 
+    @Override
+    public boolean holdsAll(Holder holder, Map<Name, String> versions) {
+        return loop.hand(() -> delivery.holdsAll(holder, versions));
+    }
+
     private void drop(int id) {
         Dialled d = dialled.remove(id);
         if (d != null) {
--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -196,11 +196,9 @@
     /** RFC 5277: what it met since its last one, or that others have changed it. */
     private void notification(Elem root) {
         if (root.child("netconf-config-change") != null) {
-            if (asked == null && edits.wanted() == null) {
-                edits.clock(Loop.now());
-                edits.drifted();
-                decide();
-            }
+            edits.clock(Loop.now());
+            edits.drifted(); // by us too, on devices that do not tell: a read more
+            decide();
             return;
         }
         Elem met = root.child("met");
@@ -297,7 +295,7 @@
                 front.tell(core -> core.subscribed(h, kind, 0, true));
             }
         }
-        front.tell(core -> core.holds(h, versions));
+        front.tell(core -> core.holdsAll(h, versions));
     }
 
     @Override
--- a/src/main/java/sprucelanding/standin/DeviceStand.java
+++ b/src/main/java/sprucelanding/standin/DeviceStand.java
@@ -69,7 +69,7 @@
     private final PublicKey governor;
     private final SshServer server;
     private final KeyPair key;
-    private Store running = new Store();
+    private volatile Store running = new Store();
     private Store candidate;
     /** What a commit on trial replaced, and its name. */
     private Store before;
@@ -151,6 +151,25 @@
         endTrial();
     }
 
+    /** A line of its running configuration: w or d and the weight; null for none. */
+    public String line(int table, long replica) {
+        Row row = running.tables.getOrDefault(table, new TreeMap<>()).get(replica);
+        return row == null ? null : (row.leaves.get("draining").equals("true") ? "d" : "w") + row.leaves.get("weight");
+    }
+
+    /** Whether its products have routes. */
+    public boolean routed() {
+        return !running.products.isEmpty();
+    }
+
+    /** It sends these bytes in place of a reply. */
+    public void garbles(byte[] bytes) {
+        if (current != null) {
+            current.out.add(bytes);
+            current.next();
+        }
+    }
+
     public void stop() throws IOException {
         server.stop(true);
     }
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -140,6 +140,14 @@
             ArrayDeque<Wire> same = idle.get(at);
             wire = same == null ? null : same.poll();
             double left = Math.max(1, txn.until - began);
+            end = loop.in(left, () -> {
+                if (!over) {
+                    Wire w = wire;
+                    w.now = null;
+                    ended(0, false, Double.NaN);
+                    w.conn.close(); // running work goes on at the replica
+                }
+            });
             if (wire == null) {
                 wire = new Wire(at);
                 wire.now = this;
@@ -154,14 +162,6 @@
                 wire.now = this;
                 wire.conn.write(request());
             }
-            end = loop.in(left, () -> {
-                if (!over) {
-                    Wire w = wire;
-                    w.now = null;
-                    ended(0, false, Double.NaN);
-                    w.conn.close(); // running work goes on at the replica
-                }
-            });
         }
 
         /** Status 0: no answer. */
--- a/src/test/java/sprucelanding/xds/Station.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -1,4 +1,4 @@
-package sprucelanding.xds;
+package sprucelanding.rig;
 
 import io.envoyproxy.envoy.config.core.v3.Node;
 import io.envoyproxy.envoy.service.discovery.v3.AggregatedDiscoveryServiceGrpc;
@@ -21,23 +21,29 @@
 import sprucelanding.governor.Governor;
 import sprucelanding.intake.Intake;
 import sprucelanding.loop.Loop;
+import sprucelanding.netconf.Keys;
+import sprucelanding.netconf.NetconfFront;
 import sprucelanding.roster.Entry;
 import sprucelanding.rules.Tape;
 import sprucelanding.standin.Links;
 import sprucelanding.standin.ReplicaStand;
 import sprucelanding.standin.RosterStand;
+import sprucelanding.xds.Words;
+import sprucelanding.xds.XdsFront;
 
 /** A governor in this process with a roster and replicas of its own, for stories told by peers over sockets. */
-final class Station implements AutoCloseable {
-    static final List<String> ZONES = List.of("north", "south");
-    final Loop loop = Loop.started("stands");
-    final Tape tape = new Tape(1_000_000);
-    final Governor governor;
-    final XdsFront front;
-    final RosterStand roster;
-    final List<ReplicaStand> replicas = new java.util.ArrayList<>();
-
-    Station(int count, int atOnce) throws Exception {
+public final class Rig implements AutoCloseable {
+    public static final List<String> ZONES = List.of("north", "south");
+    public final Loop loop = Loop.started("stands");
+    public final Tape tape = new Tape(1_000_000);
+    public final Governor governor;
+    public final XdsFront front;
+    public final NetconfFront netconf;
+    public final RosterStand roster;
+    public final List<ReplicaStand> replicas = new java.util.ArrayList<>();
+
+    /** With devices' own keys and pins, a NETCONF front as well; else null. */
+    public Rig(int count, int atOnce, Keys keys) throws Exception {
         int rosterPort = free();
         roster = new RosterStand(loop, new InetSocketAddress("127.0.0.1", rosterPort), ZONES, List.of("usual"), tape);
         for (int i = 0; i < count; i++) {
@@ -59,8 +65,14 @@
                 new Admission(atOnce, 1000, 20_000), new Intake(1, 500, 10_000));
         front = new XdsFront(governor, governor, "here", new InetSocketAddress("127.0.0.1", 0), 64 * 1024, 500);
         governor.front(front);
+        netconf = keys == null ? null : new NetconfFront(governor, governor, "here", new InetSocketAddress("127.0.0.1", 0),
+                keys, "sprucelanding", 64 * 1024, new NetconfFront.Patience(700, 2000, 3000));
         governor.start(500);
         front.start();
+        if (netconf != null) {
+            governor.front(netconf);
+            netconf.start();
+        }
     }
 
     private static int free() throws java.io.IOException {
@@ -70,31 +82,31 @@
     }
 
     /** A peer that does what the story says, on an aggregated delta stream. */
-    final class Peer implements StreamObserver<DeltaDiscoveryResponse>, AutoCloseable {
-        final BlockingQueue<DeltaDiscoveryResponse> heard = new LinkedBlockingQueue<>();
-        final BlockingQueue<Status> ended = new LinkedBlockingQueue<>();
-        final Node node;
-        final ManagedChannel channel =
+    public final class Peer implements StreamObserver<DeltaDiscoveryResponse>, AutoCloseable {
+        public final BlockingQueue<DeltaDiscoveryResponse> heard = new LinkedBlockingQueue<>();
+        public final BlockingQueue<Status> ended = new LinkedBlockingQueue<>();
+        public final Node node;
+        public final ManagedChannel channel =
                 NettyChannelBuilder.forAddress("127.0.0.1", front.port()).usePlaintext().build();
-        final StreamObserver<DeltaDiscoveryRequest> out =
+        public final StreamObserver<DeltaDiscoveryRequest> out =
                 AggregatedDiscoveryServiceGrpc.newStub(channel).deltaAggregatedResources(this);
 
-        Peer(String name) {
+        public Peer(String name) {
             node = Node.newBuilder().setId(name).build();
         }
 
-        DeltaDiscoveryRequest.Builder about(String type) {
+        public DeltaDiscoveryRequest.Builder about(String type) {
             return DeltaDiscoveryRequest.newBuilder().setNode(node).setTypeUrl(type);
         }
 
-        void asksForAll() {
+        public void asksForAll() {
             out.onNext(about(Words.CDS).addResourceNamesSubscribe("*").build());
             out.onNext(about(Words.RDS).addResourceNamesSubscribe(Words.ROUTES).build());
             out.onNext(about(Words.EDS).addResourceNamesSubscribe("t0").build());
             out.onNext(about(Words.LEDS).addResourceNamesSubscribe(Words.collection(0)).build());
         }
 
-        DeltaDiscoveryResponse hears(String type) throws InterruptedException {
+        public DeltaDiscoveryResponse hears(String type) throws InterruptedException {
             DeltaDiscoveryResponse r = heard.poll(10, TimeUnit.SECONDS);
             if (r == null || !r.getTypeUrl().equals(type)) {
                 throw new AssertionError("expected " + type + ", heard " + r);
@@ -102,18 +114,18 @@
             return r;
         }
 
-        void acks(DeltaDiscoveryResponse r) {
+        public void acks(DeltaDiscoveryResponse r) {
             out.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(r.getTypeUrl()).setResponseNonce(r.getNonce())
                     .build());
         }
 
-        void nacks(DeltaDiscoveryResponse r) {
+        public void nacks(DeltaDiscoveryResponse r) {
             out.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(r.getTypeUrl()).setResponseNonce(r.getNonce())
                     .setErrorDetail(com.google.rpc.Status.newBuilder().setCode(3).setMessage("no")).build());
         }
 
         /** Accepts all until its route is in force. */
-        void comesIn() throws InterruptedException {
+        public void comesIn() throws InterruptedException {
             asksForAll();
             for (String type : List.of(Words.CDS, Words.EDS, Words.LEDS, Words.RDS)) {
                 acks(hears(type));
--- a/src/test/java/sprucelanding/xds/XdsFrontTest.java
+++ b/src/test/java/sprucelanding/xds/XdsFrontTest.java
@@ -30,16 +30,17 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sprucelanding.rig.Rig;
 import sprucelanding.roster.Entry;
 
 /** Stories of peers, good and bad, over real sockets. */
 @Timeout(60)
 class XdsFrontTest {
-    private Station station;
+    private Rig station;
 
     @BeforeEach
     void open() throws Exception {
-        station = new Station(4, 64);
+        station = new Rig(4, 64, null);
     }
 
     @AfterEach
@@ -47,7 +48,7 @@
         station.close();
     }
 
-    private DeltaDiscoveryResponse removal(Station.Peer peer, int replica) throws Exception {
+    private DeltaDiscoveryResponse removal(Rig.Peer peer, int replica) throws Exception {
         station.loop.hand(() -> station.roster.learns(List.of(station.replicas.get(replica)), Entry.Stage.GONE, 0));
         while (true) { // what health or speed changes meanwhile is accepted on the way
             DeltaDiscoveryResponse r = peer.heard.poll(10, TimeUnit.SECONDS);
@@ -61,7 +62,7 @@
 
     @Test
     void linesComeBeforeTheRouteAndAGoneReplicaIsRemovedByName() throws Exception {
-        try (Station.Peer peer = station.new Peer("p")) {
+        try (Rig.Peer peer = station.new Peer("p")) {
             peer.asksForAll();
             peer.acks(peer.hears(Words.CDS));
             peer.acks(peer.hears(Words.EDS));
@@ -79,7 +80,7 @@
     @Test
     void aStreamTakenUpElsewhereOrAgainGetsOnlyWhatDiffers() throws Exception {
         List<Resource> held = new ArrayList<>();
-        try (Station.Peer peer = station.new Peer("p")) {
+        try (Rig.Peer peer = station.new Peer("p")) {
             peer.asksForAll();
             for (String type : List.of(Words.CDS, Words.EDS, Words.LEDS, Words.RDS)) {
                 DeltaDiscoveryResponse r = peer.hears(type);
@@ -87,7 +88,7 @@
                 peer.acks(r);
             }
         }
-        try (Station.Peer again = station.new Peer("p")) {
+        try (Rig.Peer again = station.new Peer("p")) {
             for (String type : List.of(Words.CDS, Words.RDS, Words.EDS, Words.LEDS)) {
                 DeltaDiscoveryRequest.Builder q = again.about(type).addResourceNamesSubscribe(switch (type) {
                     case Words.CDS -> "*";
@@ -107,7 +108,7 @@
 
     @Test
     void aRejectedRemovalIsNotSentInALoopAndOthersAreServed() throws Exception {
-        try (Station.Peer bad = station.new Peer("bad"); Station.Peer good = station.new Peer("good")) {
+        try (Rig.Peer bad = station.new Peer("bad"); Rig.Peer good = station.new Peer("good")) {
             bad.comesIn();
             good.comesIn();
             DeltaDiscoveryResponse no = removal(bad, 2);
@@ -125,7 +126,7 @@
 
     @Test
     void oneThatAnswersNothingHoldsUpNobody() throws Exception {
-        try (Station.Peer silent = station.new Peer("silent"); Station.Peer good = station.new Peer("good")) {
+        try (Rig.Peer silent = station.new Peer("silent"); Rig.Peer good = station.new Peer("good")) {
             silent.asksForAll(); // and never another word
             good.comesIn();
             good.acks(removal(good, 3));
@@ -134,8 +135,8 @@
 
     @Test
     void unknownTypesTooManyNamesAndNamelessPeersAreToldWhy() throws Exception {
-        try (Station.Peer a = station.new Peer("a"); Station.Peer b = station.new Peer("b");
-                Station.Peer c = station.new Peer("")) {
+        try (Rig.Peer a = station.new Peer("a"); Rig.Peer b = station.new Peer("b");
+                Rig.Peer c = station.new Peer("")) {
             a.out.onNext(a.about("type.googleapis.com/nobody.knows.This").build());
             Status no = a.ended.poll(10, TimeUnit.SECONDS);
             assertEquals(Status.Code.INVALID_ARGUMENT, no.getCode());
@@ -149,14 +150,14 @@
             c.out.onNext(c.about(Words.CDS).build());
             assertEquals(Status.Code.INVALID_ARGUMENT, c.ended.poll(10, TimeUnit.SECONDS).getCode());
         }
-        try (Station.Peer good = station.new Peer("good")) {
+        try (Rig.Peer good = station.new Peer("good")) {
             good.comesIn();
         }
     }
 
     @Test
     void oversizeMessagesAndGarbageEndThatConnectionAlone() throws Exception {
-        try (Station.Peer good = station.new Peer("good"); Station.Peer big = station.new Peer("big")) {
+        try (Rig.Peer good = station.new Peer("good"); Rig.Peer big = station.new Peer("big")) {
             good.comesIn();
             DeltaDiscoveryRequest.Builder q = big.about(Words.LEDS);
             for (int i = 0; i < 10_000; i++) {
@@ -181,7 +182,7 @@
     @Test
     void aWholeStateStreamIgnoresStaleNoncesAndHoldsTheWholeTable() throws Exception {
         BlockingQueue<DiscoveryResponse> heard = new LinkedBlockingQueue<>();
-        try (Station.Peer carrier = station.new Peer("carrier")) {
+        try (Rig.Peer carrier = station.new Peer("carrier")) {
             StreamObserver<DiscoveryRequest> out = AggregatedDiscoveryServiceGrpc.newStub(carrier.channel)
                     .streamAggregatedResources(new StreamObserver<>() {
                         @Override
@@ -221,7 +222,7 @@
     @Test
     void loadReportsAreAskedForAndAbsurdOnesHurtNobody() throws Exception {
         BlockingQueue<LoadStatsResponse> asked = new LinkedBlockingQueue<>();
-        try (Station.Peer peer = station.new Peer("p")) {
+        try (Rig.Peer peer = station.new Peer("p")) {
             peer.comesIn();
             StreamObserver<LoadStatsRequest> out = LoadReportingServiceGrpc.newStub(peer.channel)
                     .streamLoadStats(new StreamObserver<>() {
@@ -253,14 +254,14 @@
     @Test
     void twoHundredAndNineDialAtOnceAndAllAreLaid() throws Exception {
         station.close();
-        station = new Station(4, 32);
-        List<Station.Peer> peers = new ArrayList<>();
+        station = new Rig(4, 32, null);
+        List<Rig.Peer> peers = new ArrayList<>();
         try {
             for (int i = 0; i < 209; i++) {
                 peers.add(station.new Peer("p" + i));
             }
-            peers.forEach(Station.Peer::asksForAll);
-            List<Station.Peer> waiting = new ArrayList<>(peers);
+            peers.forEach(Rig.Peer::asksForAll);
+            List<Rig.Peer> waiting = new ArrayList<>(peers);
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
             while (!waiting.isEmpty() && System.nanoTime() < end) {
                 waiting.removeIf(peer -> {
@@ -273,7 +274,7 @@
             }
             assertEquals(0, waiting.size());
         } finally {
-            peers.forEach(Station.Peer::close);
+            peers.forEach(Rig.Peer::close);
         }
     }
 }
