--- a/examples/bad-day.cue
+++ b/examples/bad-day.cue
@@ -5,13 +5,13 @@
 lasts: 60s
 zones: ["north", "middle", "south"]
 kinds: [
-	{name: "fast", cores: 4, speed: 1.2, slots: 16, room: 64, part: 40%},
-	{name: "usual", cores: 4, speed: 1.0, slots: 16, room: 64, part: 35%},
-	{name: "slow", cores: 4, speed: 0.6, slots: 16, room: 64, part: 25%},
+	{name: "fast", cores: 8, speed: 1.2, slots: 24, room: 48, part: 40%},
+	{name: "usual", cores: 8, speed: 1.0, slots: 24, room: 48, part: 35%},
+	{name: "slow", cores: 8, speed: 0.6, slots: 24, room: 48, part: 25%},
 ]
 products: [
-	{name: "read", part: 75%, work: 40ms, sla: 750ms, expiry: 2s, revenue: 1, retry: "safe"},
-	{name: "sign", part: 25%, work: 50ms, sla: 800ms, expiry: 2s, revenue: 2, retry: "once"},
+	{name: "read", part: 75%, work: 120ms, sla: 750ms, expiry: 2s, revenue: 1, retry: "safe"},
+	{name: "sign", part: 25%, work: 100ms, sla: 800ms, expiry: 2s, revenue: 2, retry: "once"},
 ]
 replicas: {count: 24, coldFrom: 25%, warmAfter: 12s, connections: 400}
 proxies: {count: 48, pick: "two"}
--- a/src/main/java/sprucelanding/day/GovernorProcess.java
+++ b/src/main/java/sprucelanding/day/GovernorProcess.java
@@ -106,7 +106,8 @@
     List<Map<String, String>> figures(ObjectMapper json) {
         List<Map<String, String>> all = new ArrayList<>();
         try (var lines = Files.lines(log)) {
-            for (String line : lines.filter(l -> l.contains("\"message\":\"figures\"")).toList()) {
+            for (String line : lines.filter(l -> l.contains("\"message\":\"figures\"")
+                    || l.contains("\"message\":\"front\"")).toList()) {
                 Map<String, String> said = new LinkedHashMap<>();
                 json.readTree(line).path("kvpList").forEach(pair -> pair.fields().forEachRemaining(
                         e -> said.put(e.getKey(), e.getValue().asText())));
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -187,7 +187,7 @@
         if (m.settles.size() > 1 && !m.whole) {
             h.atMost = Math.max(1, m.settles.size() / 2);
             m.settles.forEach((name, since) -> h.owed.get(name.kind()).merge(name, since, Math::min));
-            h.urgent |= drains(h, m);
+            h.urgent |= m.removes();
         } else {
             m.items.forEach(item -> h.refused.put(item.name(), item.version()));
             m.gone.forEach(name -> h.refused.put(name, ""));
@@ -324,7 +324,7 @@
         for (Holder h : List.copyOf(holders.values())) {
             double waits = h.open.isEmpty() ? 0 : now - h.open.firstEntry().getValue().sentAt;
             // What reads nothing can't be told what to leave; cut off, it dials again and is told at once.
-            Message must = h.open.values().stream().filter(m -> drains(h, m)).findFirst().orElse(null);
+            Message must = h.open.values().stream().filter(Message::removes).findFirst().orElse(null);
             boolean late = must != null && now - must.sentAt > MOST_OF_GRACE * grace;
             if (waits > patience || late) {
                 left(h.id);
@@ -605,12 +605,6 @@
         }
     }
 
-    /** Whether it takes lines away. On a whole state that cannot be told: any message of lines may. */
-    private static boolean drains(Holder h, Message m) {
-        return !h.deltas && m.kind == Kind.ENDPOINTS || m.gone.stream().anyMatch(n -> n.kind() == Kind.LINE)
-                || m.items.stream().anyMatch(i -> i.name().kind() == Kind.LINE && i.lines().get(0).draining());
-    }
-
     private static Set<Name> names(Message m) {
         Set<Name> names = new HashSet<>();
         m.items.forEach(i -> names.add(i.name()));
--- a/src/main/java/sprucelanding/delivery/Message.java
+++ b/src/main/java/sprucelanding/delivery/Message.java
@@ -32,6 +32,12 @@
         this.settles = settles;
     }
 
+    /** Whether it takes lines away, or lets one drain; of a table sent whole that cannot be told, so it may. */
+    public boolean removes() {
+        return kind == Kind.ENDPOINTS && !to.deltas || gone.stream().anyMatch(n -> n.kind() == Kind.LINE)
+                || items.stream().anyMatch(i -> i.name().kind() == Kind.LINE && i.lines().get(0).draining());
+    }
+
     /** Lines that it changes, as limits count them: a line, a level or a binding each. */
     public int lines() {
         int lines = gone.size();
--- a/src/main/java/sprucelanding/edits/Edits.java
+++ b/src/main/java/sprucelanding/edits/Edits.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import sprucelanding.delivery.Item;
 import sprucelanding.delivery.Message;
 import sprucelanding.delivery.Name;
 
@@ -322,8 +321,7 @@
 
     /** Removals go without a trial: one round trip less on the way to the grace. */
     private boolean hurries() {
-        return wanted != null && (wanted.gone.stream().anyMatch(n -> n.replica() != 0)
-                || wanted.items.stream().anyMatch(i -> i.lines().stream().anyMatch(Item.Line::draining)));
+        return wanted != null && wanted.removes();
     }
 
     private Op commit() {
--- a/src/main/java/sprucelanding/governor/Core.java
+++ b/src/main/java/sprucelanding/governor/Core.java
@@ -35,6 +35,6 @@
     /** A stable number for a proxy's name; -1 if there are too many names. Safe to call from any thread. */
     int number(String proxy);
 
-    /** Told once the bytes of a message were handed to the transport; ms on the loop's clock. */
-    void written(Message message, double at);
+    /** Told once the bytes of a message were handed to the transport; ms on the loop's clock. Any thread. */
+    void written(Front front, Message message, double at, long bytes);
 }
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -7,14 +7,13 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import org.HdrHistogram.Histogram;
-import org.HdrHistogram.Recorder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -84,9 +83,7 @@
     private final Map<Integer, Dialled> dialled = new HashMap<>();
     private final Hand hand = new Hand();
     private final Does does = new Does();
-    /** us from a decision to its bytes at the transport, and to its acknowledgement. */
-    private final Recorder toWritten = new Recorder(3_600_000_000L, 3);
-    private final Recorder toAck = new Recorder(3_600_000_000L, 3);
+    private final Map<Front, Tally> tallies = new LinkedHashMap<>();
     private double longestRound;
     /** Lines that Choice's model of the channel holds: the most, and how far above and below those unanswered. */
     private double modelMost;
@@ -148,8 +145,10 @@
         return new Choice(new SplittableRandom(seed), products, zones, admit);
     }
 
+    /** Before start. */
     public void front(Front front) {
         fronts.add(front);
+        tallies.put(front, new Tally());
     }
 
     /** Where notes to and from the other governors go; they may be lost. */
@@ -310,8 +309,8 @@
     }
 
     @Override
-    public void written(Message message, double at) {
-        toWritten.recordValue((long) Math.max(0, (at - message.sentAt) * 1000));
+    public void written(Front front, Message message, double at, long bytes) {
+        tallies.get(front).written(at - message.sentAt, bytes, message.lines());
     }
 
     @Override
@@ -334,25 +333,18 @@
         return byRate;
     }
 
-    /** One line with the figures since the last one. */
+    /** A line with the figures since the last one, and one for each front. */
     private void figures() {
-        Histogram written = toWritten.getIntervalHistogram();
-        Histogram acked = toAck.getIntervalHistogram();
         long streams = dialled.values().stream().filter(d -> d.in[0]).count();
         log("figures").addKeyValue("orders", orders).addKeyValue("streams", streams)
-                .addKeyValue("waiting", admission.waiting()).addKeyValue("messages", written.getTotalCount())
-                .addKeyValue("writtenUsP50", written.getValueAtPercentile(50))
-                .addKeyValue("writtenUsP99", written.getValueAtPercentile(99))
-                .addKeyValue("writtenUsMax", written.getMaxValue())
-                .addKeyValue("ackedUsP50", acked.getValueAtPercentile(50))
-                .addKeyValue("ackedUsP99", acked.getValueAtPercentile(99))
-                .addKeyValue("ackedUsMax", acked.getMaxValue())
+                .addKeyValue("waiting", admission.waiting())
                 .addKeyValue("unansweredLines", delivery.unanswered())
                 .addKeyValue("mostUnansweredLines", delivery.mostUnanswered())
                 .addKeyValue("modelMostLines", Math.round(modelMost))
                 .addKeyValue("modelOverLines", Math.round(modelOver))
                 .addKeyValue("modelUnderLines", Math.round(modelUnder))
                 .addKeyValue("longestRoundMs", Math.round(longestRound * 10) / 10.0).log();
+        tallies.forEach((front, tally) -> tally.into(log("front").addKeyValue("front", front.name())).log());
         longestRound = 0;
         modelMost = 0;
         modelOver = 0;
@@ -512,7 +504,10 @@
 
         @Override
         public void inForce(Holder holder, int serial) {
-            toAck.recordValue((long) Math.max(0, (Loop.now() - momentOf[serial & 0xffff]) * 1000));
+            Dialled d = dialled.get(holder.id);
+            if (d != null) {
+                tallies.get(d.front).acked(Loop.now() - momentOf[serial & 0xffff]);
+            }
             receipted = true;
             choice.inForce(serial);
         }
--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -259,9 +259,10 @@
             });
             return;
         }
-        line.write(framing.framed(rpc));
+        byte[] bytes = framing.framed(rpc);
+        line.write(bytes);
         if (op == Edits.Op.EDIT) {
-            front.written(edit);
+            front.written(edit, bytes.length);
         }
         patience = front.loop().in(waits, () -> {
             if (askedId == id) {
--- a/src/main/java/sprucelanding/netconf/NetconfFront.java
+++ b/src/main/java/sprucelanding/netconf/NetconfFront.java
@@ -230,8 +230,8 @@
         return identifier;
     }
 
-    void written(Message edit) {
-        core.written(edit, Loop.now());
+    void written(Message edit, long bytes) {
+        core.written(this, edit, Loop.now(), bytes);
     }
 
     /** Until the core has taken it; this holds up devices, never the core. */
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -186,11 +186,14 @@
         }
     }
 
-    /** On the writing thread. */
-    final void write(Message message, Site site) {
-        if (!ended && !out.isCancelled()) {
-            out.onNext(response(message, site));
+    /** On the writing thread; how many bytes it was. */
+    final long write(Message message, Site site) {
+        if (ended || out.isCancelled()) {
+            return 0;
         }
+        R response = response(message, site);
+        out.onNext(response);
+        return response.getSerializedSize();
     }
 
     final void end(Status status) {
--- a/src/main/java/sprucelanding/xds/XdsFront.java
+++ b/src/main/java/sprucelanding/xds/XdsFront.java
@@ -139,8 +139,8 @@
     public void send(Message message, Site site) {
         Stream<?, ?> stream = (Stream<?, ?>) message.to.stream;
         boolean taken = write(message.to.id, () -> {
-            stream.write(message, site);
-            core.written(message, Loop.now());
+            long bytes = stream.write(message, site);
+            core.written(this, message, Loop.now(), bytes);
         });
         if (!taken) { // it cannot be left out: the proxy dials again and is laid from what it holds
             LOG.atWarn().setMessage("too many messages wait to be written").addKeyValue("proxy", message.to.id).log();
--- a/src/test/java/sprucelanding/rig/Rig.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -67,10 +67,12 @@
         governor.front(front);
         netconf = keys == null ? null : new NetconfFront(governor, governor, "here", new InetSocketAddress("127.0.0.1", 0),
                 keys, "sprucelanding", 64 * 1024, new NetconfFront.Patience(700, 2000, 3000));
+        if (netconf != null) {
+            governor.front(netconf);
+        }
         governor.start(500);
         front.start();
         if (netconf != null) {
-            governor.front(netconf);
             netconf.start();
         }
     }
