--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -79,6 +79,7 @@
         line = null;
         cancel();
         edits.broke();
+        front.ended(number);
         if (joined) {
             joined = false;
             Holder gone = holder;
@@ -210,13 +211,15 @@
         }
     }
 
-    /** The core's message: an edit to bring in force. */
-    void wants(Message edit) {
+    /** The core's message: an edit to bring in force. False if it is of a session that is over. */
+    boolean wants(Message edit) {
         edits.clock(Loop.now());
-        if (line != null && edit.to == holder) {
-            edits.wants(edit);
-            decide();
+        if (line == null || edit.to != holder) {
+            return false;
         }
+        edits.wants(edit);
+        decide();
+        return true;
     }
 
     void decide() {
@@ -277,11 +280,13 @@
 
     @Override
     public void inForce(Message edit) {
+        front.ended(number);
         front.tell(core -> core.answered(edit.to, edit.id, null));
     }
 
     @Override
     public void refused(Message edit, String why) {
+        front.ended(number);
         front.tell(core -> core.answered(edit.to, edit.id, why));
     }
 
--- a/src/main/java/sprucelanding/netconf/NetconfFront.java
+++ b/src/main/java/sprucelanding/netconf/NetconfFront.java
@@ -25,7 +25,9 @@
 import org.slf4j.LoggerFactory;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Message;
+import sprucelanding.delivery.Name;
 import sprucelanding.edits.Edits;
+import sprucelanding.edits.Turns;
 import sprucelanding.governor.Core;
 import sprucelanding.governor.Front;
 import sprucelanding.governor.Site;
@@ -36,8 +38,15 @@
  * its host key says it is. One loop of the front's own decides for all devices; the SSH library's threads hand over to it.
  */
 public final class NetconfFront implements Front {
-    /** How devices are treated: ms until an operation counts as unanswered, a trial ends, a foreign lock is given up. */
-    public record Patience(double answers, double confirms, double locks) {
+    /**
+     * How devices are treated.
+     *
+     * @param answers ms until an operation counts as unanswered
+     * @param confirms ms until a device takes back a commit on trial
+     * @param locks ms until a lock held by others is given up
+     * @param atOnce devices that are edited at a time, removals aside
+     */
+    public record Patience(double answers, double confirms, double locks, int atOnce) {
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(NetconfFront.class);
@@ -56,6 +65,9 @@
     private final Loop loop = new Loop("netconf");
     private final SshClient client = SshClient.setUpDefaultClient();
     private final Map<String, Device> devices = new HashMap<>();
+    /** By number, edits that wait for their device's turn. */
+    private final Map<Integer, Message> waiting = new HashMap<>();
+    private final Turns turns;
     private IoAcceptor acceptor;
     private volatile boolean closed;
 
@@ -70,6 +82,7 @@
         this.user = user;
         this.largest = largest;
         this.patience = patience;
+        this.turns = new Turns(patience.atOnce, patience.answers);
     }
 
     /** Throws IOException if it cannot listen, or its key cannot be used. */
@@ -254,11 +267,39 @@
 
     @Override
     public void send(Message message, Site where) {
-        if (!loop.hand(() -> ((Device) message.to.stream).wants(message))) {
+        Turns.Rank rank = message.removes() ? Turns.Rank.REMOVAL // what it holds may be looked at on the core's thread only
+                : message.to.holds(Name.ROUTE) ? Turns.Rank.ORDINARY : Turns.Rank.FIRST;
+        boolean taken = loop.hand(() -> {
+            Device device = (Device) message.to.stream;
+            waiting.put(device.number, message);
+            turns.clock(Loop.now());
+            turns.wants(device.number, rank);
+            serve();
+        });
+        if (!taken) {
             core.left(message.to);
         }
     }
 
+    /** A device's edit ended, however: others may be served. */
+    void ended(int device) {
+        turns.clock(Loop.now());
+        waiting.remove(device);
+        turns.done(device);
+        serve();
+    }
+
+    private void serve() {
+        while (turns.decide(number -> {
+            Message edit = waiting.remove(number);
+            if (edit == null || !((Device) edit.to.stream).wants(edit)) {
+                loop.in(0, () -> ended(number));
+            }
+        })) {
+            continue;
+        }
+    }
+
     @Override
     public void end(Holder holder, boolean busy, String why) {
         loop.hand(() -> ((Device) holder.stream).drop(why));
--- a/src/main/java/sprucelanding/program/Build.java
+++ b/src/main/java/sprucelanding/program/Build.java
@@ -67,7 +67,7 @@
         Station.Calls n = s.netconf();
         NetconfFront netconf = n == null ? null : new NetconfFront(governor, governor, s.name(),
                 address(n.at(), "netconf.at"), new Keys(Path.of(n.key()), Path.of(n.devices())), n.user(), n.largest(),
-                new NetconfFront.Patience(n.answers(), n.confirms(), n.locks()));
+                new NetconfFront.Patience(n.answers(), n.confirms(), n.locks(), n.atOnce()));
         if (netconf != null) {
             governor.front(netconf);
         }
--- a/src/main/java/sprucelanding/program/Station.java
+++ b/src/main/java/sprucelanding/program/Station.java
@@ -14,7 +14,8 @@
     }
 
     public record Calls(String at, String key, String devices, String user, int largest, double answers,
-            double confirms, double locks) {
+            double confirms, double locks,
+            int atOnce) {
     }
 
     public record Listed(String at, String from, boolean pushed, boolean softRemoval, double coldFrom,
--- a/src/main/resources/sprucelanding/program/station.cue
+++ b/src/main/resources/sprucelanding/program/station.cue
@@ -33,6 +33,7 @@
 		answers: time & >0 | *3s // until an operation counts as unanswered
 		confirms: time & >=1s | *5s // until a device takes back a commit on trial
 		locks: time & >0 | *10s // until a lock held by others is given up
+		atOnce: int & >=1 | *32 // devices edited at a time; as many again for removals
 	}
 	roster: {
 		at: #Address
