--- a/src/main/java/sprucelanding/netconf/NetconfFront.java
+++ b/src/main/java/sprucelanding/netconf/NetconfFront.java
@@ -21,6 +21,7 @@
 import org.apache.sshd.common.session.Session;
 import org.apache.sshd.common.session.SessionListener;
 import org.apache.sshd.common.util.buffer.ByteArrayBuffer;
+import org.apache.sshd.core.CoreModuleProperties;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sprucelanding.delivery.Holder;
@@ -91,6 +92,7 @@
         Thread thread = new Thread(loop, "netconf");
         thread.setDaemon(true);
         thread.start();
+        CoreModuleProperties.TCP_NODELAY.set(client, true); // small messages back and forth must not wait for each other
         client.setServerKeyVerifier(this::pinned);
         client.start();
         client.addSessionListener(new SessionListener() {
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sprucelanding.day.Day;
+import sprucelanding.day.EditRate;
 import sprucelanding.day.Measure;
 import sprucelanding.day.Script;
 import sprucelanding.records.Invalid;
@@ -18,7 +19,7 @@
 /** The sub-commands. Exit codes: 0 well, 1 it failed or a rule broke, 2 what was given cannot be used. */
 @Command(name = "sprucelanding", mixinStandardHelpOptions = true, version = "0.2.0",
         description = "Publishes routing tables to a fleet of plain proxies.",
-        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class,
+        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class, Commands.Edits.class,
                 Commands.Bench.class})
 final class Commands {
     private Commands() {
@@ -128,6 +129,24 @@
         }
     }
 
+    @Command(name = "edits", mixinStandardHelpOptions = true,
+            description = "Measures how many edits a second the NETCONF front carries.")
+    static final class Edits implements Callable<Integer> {
+        @Option(names = "--devices", split = ",", defaultValue = "1,8,32,64")
+        private int[] devices;
+        @Option(names = "--seconds", defaultValue = "8")
+        private double seconds;
+
+        @Override
+        public Integer call() throws Exception {
+            for (int n : devices) {
+                System.out.print(new EditRate(n, false).run(seconds * 1000));
+                System.out.print(new EditRate(n, true).run(seconds * 1000));
+            }
+            return 0;
+        }
+    }
+
     /** Only named here for the help: Main starts it without this class. */
     @Command(name = "adapter", description = "The decisions on the simulator's wire, standard input and output.")
     static final class Bench implements Callable<Integer> {
--- a/src/main/java/sprucelanding/standin/DeviceStand.java
+++ b/src/main/java/sprucelanding/standin/DeviceStand.java
@@ -23,6 +23,7 @@
 import org.apache.sshd.common.io.IoSession;
 import org.apache.sshd.common.keyprovider.KeyPairProvider;
 import org.apache.sshd.common.util.buffer.ByteArrayBuffer;
+import org.apache.sshd.core.CoreModuleProperties;
 import org.apache.sshd.server.Environment;
 import org.apache.sshd.server.ExitCallback;
 import org.apache.sshd.server.SshServer;
@@ -91,6 +92,7 @@
         this.key = key;
         server = SshServer.setUpDefaultServer();
         server.setHost("127.0.0.1");
+        CoreModuleProperties.TCP_NODELAY.set(server, true);
         server.setKeyPairProvider(KeyPairProvider.wrap(key));
         server.setPublickeyAuthenticator((user, offered, session) -> KeyUtils.compareKeys(offered, this.governor));
         server.setSubsystemFactories(List.of(new SubsystemFactory() {
