What others change at a device is told even if an edit comes while it is read

Change: only a read that settles an unknown outcome keeps its result to itself; drift is looked at again after it. The story of it needs no sockets.

--- a/src/main/java/sprucelanding/edits/Edits.java
+++ b/src/main/java/sprucelanding/edits/Edits.java
@@ -224,11 +224,12 @@
             return;
         }
         asked = null;
-        reads = false;
+        boolean resolves = unclear && wanted != null;
+        reads &= resolves; // what others changed is told by a read that settles nothing else
         boolean first = !known;
         known = true;
         boolean subscribes = first && can.notifies;
-        if (unclear && wanted != null) {
+        if (resolves) {
             unclear = false;
             if (holds(versions, wanted)) {
                 if (takenBackBy > now) {
@@ -243,7 +244,7 @@
         if (subscribes && next == null) {
             next = Op.SUBSCRIBE;
         }
-        if (first || wanted == null) {
+        if (first || !resolves) { // also if an edit came meanwhile: it has not begun
             Map<Name, String> copy = new HashMap<>(versions);
             due.add(() -> acts.holds(copy));
         }
--- a/src/test/java/sprucelanding/edits/EditsTest.java
+++ b/src/test/java/sprucelanding/edits/EditsTest.java
@@ -199,6 +199,17 @@
         assertEquals(List.of("holds 1"), said);
     }
 
+    @Test
+    void anEditThatComesWhileItIsReadDoesNotHideWhatOthersChanged() {
+        edits.drifted();
+        pull();
+        edits.wants(plain);
+        device.put(Name.line(0, 9), "w1");
+        edits.read(device);
+        until(null);
+        assertEquals(List.of("holds 1", "in force 1"), said);
+    }
+
     @Override
     public void ask(Edits.Op op, Message edit, double patience) {
         asked.add(op);
