--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -7,7 +7,6 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -34,6 +33,7 @@
 import sprucelanding.standin.ClientStand;
 import sprucelanding.standin.DeviceStand;
 import sprucelanding.standin.Links;
+import sprucelanding.standin.Ports;
 import sprucelanding.standin.ProxyStand;
 import sprucelanding.standin.Relay;
 import sprucelanding.standin.ReplicaStand;
@@ -133,13 +133,13 @@
         List<String> zones = script.zones();
         List<String> kinds = script.kinds().stream().map(Script.Kind::name).toList();
         List<String> products = script.products().stream().map(Script.Ware::name).toList();
-        int rosterPort = free();
+        int rosterPort = Ports.free();
         roster = new RosterStand(rosterLoop, new InetSocketAddress("127.0.0.1", rosterPort), zones, kinds, tape);
         for (int i = 0; i < script.replicas().count(); i++) {
             int kind = kind(i);
             Script.Kind k = script.kinds().get(kind);
             ReplicaStand r = new ReplicaStand(replicaLoops[i % 2], 1000 + i, i % zones.size(), kind,
-                    new InetSocketAddress("127.0.0.1", free()), new ReplicaStand.Machine(k.cores(), k.speed(),
+                    new InetSocketAddress("127.0.0.1", Ports.free()), new ReplicaStand.Machine(k.cores(), k.speed(),
                     k.slots(), k.room(), script.replicas().coldFrom(), script.replicas().warmAfter(),
                     script.replicas().connections()), products, links, tape, script.seed() * 1000 + i);
             replicas.add(r);
@@ -152,15 +152,15 @@
         int count = whose == Tables.governors ? script.governors().count() : 0;
         List<Integer> peerPorts = new ArrayList<>();
         for (int g = 0; g < count; g++) {
-            peerPorts.add(free());
+            peerPorts.add(Ports.free());
         }
         for (int g = 0; g < count; g++) {
             int zone = g % zones.size();
             InetAddress from = links.from(2, zone, g).getAddress();
             int governor = g;
             on(rosterLoop, () -> roster.governor(from, governor));
-            int port = free();
-            int calls = free();
+            int port = Ports.free();
+            int calls = Ports.free();
             GovernorProcess p = new GovernorProcess(g, zone, port, folder,
                     station(g, port, calls, rosterPort, from, peerPorts, zones, kinds));
             governors.add(p);
@@ -303,12 +303,6 @@
         return "[" + String.join(", ", all.stream().map(s -> "\"" + s + "\"").toList()) + "]";
     }
 
-    private static int free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
-    }
-
     private interface Step {
         void run();
     }
--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -112,10 +112,6 @@
         return most;
     }
 
-    public Holder holder(int id) {
-        return holders.get(id);
-    }
-
     /** It asks for names of this kind; for clusters and the route the table does not matter. */
     public void subscribed(Holder h, Kind kind, int table) {
         switch (kind) {
@@ -145,17 +141,26 @@
         }
     }
 
+    /** The message that an answer is to, no longer under way; null if there is none. */
+    private Message answered(Holder h, long id) {
+        Message m = h.gone ? null : h.open.remove(id);
+        if (m != null) {
+            unanswered -= m.lines();
+            h.behind &= !h.open.isEmpty();
+        }
+        return m;
+    }
+
     /** A message was accepted. Numbers that are not under way, of former streams say, are left alone. */
     public void acked(Holder h, long id) {
-        Message m = h.gone ? null : h.open.remove(id);
+        Message m = answered(h, id);
         if (m == null) {
             return;
         }
-        unanswered -= m.lines();
-        h.behind &= !h.open.isEmpty();
         h.atMost = h.atMost < MOST_NAMES ? Math.min(MOST_NAMES, h.atMost * 4) : h.atMost;
         if (m.whole) {
-            h.held.keySet().removeIf(n -> n.kind() == m.kind && !names(m).contains(n));
+            Set<Name> all = names(m);
+            h.held.keySet().removeIf(n -> n.kind() == m.kind && !all.contains(n));
         }
         for (Item item : m.items) {
             h.held.put(item.name(), item.version());
@@ -178,12 +183,10 @@
      * line does not hold up removals beside it; a name alone is not sent again until its version changes.
      */
     public void refused(Holder h, long id, String why) {
-        Message m = h.gone ? null : h.open.remove(id);
+        Message m = answered(h, id);
         if (m == null) {
             return;
         }
-        unanswered -= m.lines();
-        h.behind &= !h.open.isEmpty();
         if (m.settles.size() > 1 && !m.whole) {
             h.atMost = Math.max(1, m.settles.size() / 2);
             m.settles.forEach((name, since) -> h.owed.get(name.kind()).merge(name, since, Math::min));
@@ -216,10 +219,9 @@
 
     /** Sets a line; a weight that is not above 0 removes it. */
     public void line(int table, long replica, double weight) {
-        Item before = catalogue.set(Name.line(table, replica),
-                weight > 0 ? (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))) : 0);
-        boolean cut = weight <= 0 && before != null;
         Name line = Name.line(table, replica);
+        Item before = catalogue.set(line, weight > 0 ? (int) Math.max(1, Math.min(1 << 20, Math.rint(weight))) : 0);
+        boolean cut = weight <= 0 && before != null;
         Name whole = Name.endpoints(table);
         for (Holder h : holders.values()) {
             if (uses(h, table)) {
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -78,11 +78,6 @@
         return held.get(name);
     }
 
-    /** Messages it has not answered. */
-    public int unanswered() {
-        return open.size();
-    }
-
     boolean owes() {
         return owed.values().stream().anyMatch(names -> !names.isEmpty());
     }
--- a/src/main/java/sprucelanding/netconf/NetconfFront.java
+++ b/src/main/java/sprucelanding/netconf/NetconfFront.java
@@ -251,9 +251,7 @@
 
     /** Until the core has taken it; this holds up devices, never the core. */
     void tell(Predicate<Core> what) {
-        while (!what.test(core) && !closed) {
-            LockSupport.parkNanos(1_000_000);
-        }
+        insist(() -> what.test(core));
     }
 
     private void insist(java.util.function.BooleanSupplier what) {
--- a/src/test/java/sprucelanding/rig/Rig.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -26,6 +26,7 @@
 import sprucelanding.roster.Entry;
 import sprucelanding.rules.Tape;
 import sprucelanding.standin.Links;
+import sprucelanding.standin.Ports;
 import sprucelanding.standin.ReplicaStand;
 import sprucelanding.standin.RosterStand;
 import sprucelanding.xds.Words;
@@ -44,10 +45,10 @@
 
     /** With devices' own keys and pins, a NETCONF front as well; else null. */
     public Rig(int count, int atOnce, Keys keys) throws Exception {
-        int rosterPort = free();
+        int rosterPort = Ports.free();
         roster = new RosterStand(loop, new InetSocketAddress("127.0.0.1", rosterPort), ZONES, List.of("usual"), tape);
         for (int i = 0; i < count; i++) {
-            ReplicaStand r = new ReplicaStand(loop, 100 + i, i % 2, 0, new InetSocketAddress("127.0.0.1", free()),
+            ReplicaStand r = new ReplicaStand(loop, 100 + i, i % 2, 0, new InetSocketAddress("127.0.0.1", Ports.free()),
                     new ReplicaStand.Machine(2, 1, 8, 32, 0.25, 5000, 400), List.of("read"), new Links(), tape, i);
             replicas.add(r);
             loop.hand(() -> r.start(false));
@@ -77,12 +78,6 @@
         }
     }
 
-    private static int free() throws java.io.IOException {
-        try (java.net.ServerSocket s = new java.net.ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
-
     /** A peer that does what the story says, on an aggregated delta stream. */
     public final class Peer implements StreamObserver<DeltaDiscoveryResponse>, AutoCloseable {
         public final BlockingQueue<DeltaDiscoveryResponse> heard = new LinkedBlockingQueue<>();
