Devices that refuse one line, or lose their session on trial: caused over SSH

The stand-in device now takes no edit that lays a forbidden line (rpc-error with error-path, :rollback-on-error) and can lose its session right after a commit on trial.

--- a/src/main/java/sprucelanding/standin/DeviceStand.java
+++ b/src/main/java/sprucelanding/standin/DeviceStand.java
@@ -79,6 +79,9 @@
     private Connection current;
     private double lockedUntil;
     private int mute;
+    private long forbidden;
+    private double breaksOnTrial;
+    private volatile boolean tookBack;
 
     /**
      * @param governor the key that a governor must hold to come in
@@ -136,6 +139,21 @@
         mute = answers;
     }
 
+    /** It takes no edit that lays or changes a line of this replica, and tells which it was; 0: it takes all. */
+    public void forbids(long replica) {
+        forbidden = replica;
+    }
+
+    /** Its session breaks right after the next commit on trial; it takes that back after so long unless it is confirmed. */
+    public void breaksOnTrial(double ms) {
+        breaksOnTrial = ms;
+    }
+
+    /** Whether the last commit on trial ran out. */
+    public boolean tookBack() {
+        return tookBack;
+    }
+
     /** Another manager adds a line that nobody asked for. */
     public void drifts() {
         running.tables.computeIfAbsent(0, t -> new TreeMap<>()).put(4_000_000_000L, new Row(Map.of("host", "127.0.0.1",
@@ -409,8 +427,12 @@
         }
 
         private static String error(String tag, String message) {
+            return error(tag, "", message);
+        }
+
+        private static String error(String tag, String path, String message) {
             return "<rpc-error><error-type>application</error-type><error-tag>" + tag
-                    + "</error-tag><error-severity>error</error-severity><error-message>" + message
+                    + "</error-tag><error-severity>error</error-severity>" + path + "<error-message>" + message
                     + "</error-message></rpc-error>";
         }
 
@@ -461,6 +483,7 @@
             if (candidate == null) {
                 candidate = running.copy();
             }
+            Store before = candidate.copy();
             for (Elem table : routing.all("table")) {
                 int t = Integer.parseInt(table.text("number"));
                 if ("remove".equals(table.attributes.get("operation"))) {
@@ -472,7 +495,15 @@
                 for (Elem line : table.all("line")) {
                     editLines++;
                     long replica = Long.parseLong(line.text("replica"));
-                    if ("remove".equals(line.attributes.get("operation"))) {
+                    boolean removes = "remove".equals(line.attributes.get("operation"));
+                    if (!removes && replica == forbidden) {
+                        candidate = before; // :rollback-on-error
+                        heard.rejected("edit", edits);
+                        heard.answered(edits, true);
+                        return error("invalid-value", "<error-path>/routing/table[number='" + t + "']/line[replica='"
+                                + replica + "']</error-path>", "not this one");
+                    }
+                    if (removes) {
                         lines.remove(replica);
                     } else {
                         lines.put(replica, row(line));
@@ -512,8 +543,16 @@
                 if (trialEnds != null) {
                     trialEnds.cancel();
                 }
-                trialEnds = loop.in(1000 * Double.parseDouble(op.text("confirm-timeout")), () -> {
+                double ends = 1000 * Double.parseDouble(op.text("confirm-timeout"));
+                if (breaksOnTrial > 0) {
+                    ends = breaksOnTrial;
+                    breaksOnTrial = 0;
+                    tookBack = false;
+                    loop.in(0, () -> end("lost between commit and confirm"));
+                }
+                trialEnds = loop.in(ends, () -> {
                     running = before;
+                    tookBack = true;
                     endTrial();
                     apply();
                 });
--- a/src/test/java/sprucelanding/netconf/NetconfFrontTest.java
+++ b/src/test/java/sprucelanding/netconf/NetconfFrontTest.java
@@ -182,6 +182,38 @@
                 && x.line(0, rig.replicas.get(0).id).startsWith("w")).count());
     }
 
+    @Test
+    void oneLineThatADeviceDoesNotTakeHoldsUpNoneOfTheOthers() throws Exception {
+        DeviceStand d = device(1, own, false);
+        d.forbids(rig.replicas.get(1).id);
+        Files.writeString(folder.resolve("devices"), d.pin() + "\n");
+        await("the others are laid", () -> d.routed() && List.of(0, 2, 3).stream()
+                .allMatch(i -> d.line(0, rig.replicas.get(i).id) != null));
+        assertEquals(null, d.line(0, rig.replicas.get(1).id));
+        goes(2);
+        await("a removal beside it", () -> d.line(0, rig.replicas.get(2).id) == null);
+    }
+
+    @Test
+    void aSessionLostBetweenCommitAndConfirmIsConfirmedByTheNextOne() throws Exception {
+        DeviceStand d = device(1, own, false);
+        d.breaksOnTrial(20_000);
+        Files.writeString(folder.resolve("devices"), d.pin() + "\n");
+        await("laid by a later session", () -> laid(d));
+        goes(0);
+        await("and edited", () -> d.line(0, rig.replicas.get(0).id) == null);
+        assertFalse(d.tookBack());
+    }
+
+    @Test
+    void whatADeviceTookBackWhileNoSessionWasThereIsLaidAnew() throws Exception {
+        DeviceStand d = device(1, own, false);
+        d.breaksOnTrial(1);
+        Files.writeString(folder.resolve("devices"), d.pin() + "\n");
+        await("laid by a later session", () -> laid(d));
+        assertTrue(d.tookBack());
+    }
+
     @Test
     void aKeyFileThatOthersMayReadIsRefused() throws Exception {
         Path open = folder.resolve("open");
