Captures: what a governor was told and ordered is kept, and decided again to the last bit

The governor without its sockets is now a package of its own (core), which an emulator can drive as well; all that reaches Choice can be overheard there. Captures are blocks, LZ4 packed and checksummed, written off the loop through a bounded queue; what the disk can't take is dropped in whole spans and named. capture show lists and filters, capture decide gives the module the same events and shows the first order that differs.

--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -20,7 +20,7 @@
 @Command(name = "sprucelanding", mixinStandardHelpOptions = true, version = "0.2.0",
         description = "Publishes routing tables to a fleet of plain proxies.",
         subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class, Commands.Edits.class,
-                Commands.Bench.class})
+                Commands.Bench.class, Captures.class})
 final class Commands {
     private Commands() {
     }
@@ -44,10 +44,10 @@
         @Override
         public Integer call() throws Exception {
             Station station = Records.read(config, Station.SCHEMA, Station.DEFINITION, Station.class);
-            Build.Built built = Build.build(station);
+            Build.Built built = Build.build(station, java.nio.file.Files.readString(config));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 LOG.atInfo().setMessage("stops").log();
-                built.governor().close();
+                built.close();
             }));
             built.start(station.reports().every());
             Thread.currentThread().join();
--- a/src/main/java/sprucelanding/program/Station.java
+++ b/src/main/java/sprucelanding/program/Station.java
@@ -5,7 +5,7 @@
 /** What a governor is told at its start; station.cue says what each is, with its bounds. Times in ms. */
 public record Station(String name, long seed, List<String> zones, List<String> kinds, List<Ware> products,
         String admits, Berth xds, Calls netconf, Listed roster, Channel channel, Streams streams, Reports reports, Probes probes,
-        Peers peers) {
+        Captured capture, Peers peers) {
     public record Ware(String name, String retry, double sla, double revenue, List<String> kinds, List<String> zones,
             boolean homeOnly) {
     }
@@ -35,6 +35,9 @@
     public record Probes(boolean allowed, double timeout) {
     }
 
+    public record Captured(String file, int most, int waits) {
+    }
+
     public record Peers(String at, List<String> others) {
     }
 
--- a/src/main/resources/sprucelanding/program/station.cue
+++ b/src/main/resources/sprucelanding/program/station.cue
@@ -67,6 +67,11 @@
 		allowed: bool | *true
 		timeout: time & >0 | *400ms
 	}
+	capture?: {
+		file: string // what was told and ordered, for show and replay; written anew at each start
+		most: int & >=1 & <=100000 | *2048 // MiB, past which it ends
+		waits: int & >=2 | *64 // blocks of 64 KiB that may wait for the disk, before some are dropped
+	}
 	peers: {
 		at?: #Address
 		others: [...#Address]
--- a/src/test/java/sprucelanding/PackagesTest.java
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -21,6 +21,8 @@
                 .layer("decisions").definedBy("sprucelanding.delivery", "sprucelanding.intake", "sprucelanding.roster")
                 .layer("edits").definedBy("sprucelanding.edits")
                 .layer("markup").definedBy("sprucelanding.markup")
+                .layer("core").definedBy("sprucelanding.core")
+                .layer("capture").definedBy("sprucelanding.capture")
                 .layer("governor").definedBy("sprucelanding.governor")
                 .layer("fronts").definedBy("sprucelanding.xds", "sprucelanding.netconf")
                 .layer("rules").definedBy("sprucelanding.rules")
@@ -33,18 +35,20 @@
                 .whereLayer("rules").mayOnlyBeAccessedByLayers("stands", "day")
                 .whereLayer("fronts").mayOnlyBeAccessedByLayers("program", "day")
                 .whereLayer("governor").mayOnlyBeAccessedByLayers("fronts", "program", "day")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("edits", "governor", "fronts", "program", "stands",
-                        "day")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("edits", "core", "capture", "governor", "fronts", "program",
+                        "stands", "day")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("capture", "governor", "program")
+                .whereLayer("capture").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("edits").mayOnlyBeAccessedByLayers("fronts")
                 .whereLayer("markup").mayOnlyBeAccessedByLayers("fronts", "stands")
-                .whereLayer("module").mayOnlyBeAccessedByLayers("governor", "fronts", "program")
+                .whereLayer("module").mayOnlyBeAccessedByLayers("core", "capture", "governor", "fronts", "program")
                 .check(all);
     }
 
     @Test
     void whatDecidesDoesNoInputOrOutputAndHasNoClock() {
         ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.delivery",
-                "sprucelanding.intake", "sprucelanding.roster", "sprucelanding.edits").should().dependOnClassesThat()
+                "sprucelanding.intake", "sprucelanding.roster", "sprucelanding.edits", "sprucelanding.core").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                         "io.grpc..", "org.slf4j..")
                 .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
--- a/src/test/java/sprucelanding/rig/Rig.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -16,6 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import sprucelanding.Choice;
 import sprucelanding.Product;
+import sprucelanding.core.Ear;
+import sprucelanding.core.Round;
+import sprucelanding.core.Straight;
 import sprucelanding.delivery.Admission;
 import sprucelanding.delivery.Delivery;
 import sprucelanding.governor.Governor;
@@ -55,12 +58,12 @@
         }
         loop.hand(roster::start);
         loop.hand(() -> roster.learns(replicas, Entry.Stage.READY, 0));
-        Choice choice = Governor.choice(1, new Product[] {
+        Choice choice = Round.choice(1, new Product[] {
                 new Product(0, true, 1, 800, new BitSet(), new BitSet(), false)}, 2, Choice.Admission.SHARE);
         choice.roll(true, false, 0.25, 5000);
         choice.channel(100, 1, 100_000, 0, 10_000);
         choice.reports(true, 500);
-        governor = new Governor(choice, new Governor.Names(List.of("read"), ZONES, List.of("usual")),
+        governor = new Governor(choice, new Straight(choice), Ear.NONE, new Governor.Names(List.of("read"), ZONES, List.of("usual")),
                 new Governor.Listing(new InetSocketAddress("127.0.0.1", rosterPort), null, true, null),
                 new Governor.Probing(true, 400), false, new Delivery(0, 10_000, 1000, 20_000, 10_000),
                 new Admission(atOnce, 1000, 20_000), new Intake(1, 500, 10_000));
