--- /dev/null
+++ b/examples/settings/few-messages.cue
@@ -0,0 +1,1 @@
+channel: messages: 8
--- /dev/null
+++ b/examples/settings/narrow.cue
@@ -0,0 +1,1 @@
+channel: lines: 300/s
--- /dev/null
+++ b/examples/settings/no-probes.cue
@@ -0,0 +1,1 @@
+probes: allowed: false
--- /dev/null
+++ b/examples/settings/reports-250ms.cue
@@ -0,0 +1,1 @@
+reports: every: 250ms
--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -61,7 +61,7 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final List<Table> wide = new ArrayList<>(), tables = new ArrayList<>(); // those, with parts
     private final ArrayDeque<Replica> barring = new ArrayDeque<>(); // what was listed, or left the list
-    private final Set<Replica> again = new HashSet<>(); // to withdraw once more, for late joiners
+    private final Set<Replica> again = new LinkedHashSet<>(); // to withdraw once more, for late joiners
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
     private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList, late, barsWait;
--- a/src/main/java/sprucelanding/capture/estimate/Estimate.java
+++ b/src/main/java/sprucelanding/capture/estimate/Estimate.java
@@ -27,6 +27,11 @@
     private static final double CUT = 0.8;
     private static final int REPEATS = 2;
 
+    private static final double COVERED = 0.85; // of the time, by reports, for a window's counts to tell of speed
+    private static final double TWICE = 1.2;
+    private static final double SAME = 500; // ms between starts that are one
+    private static final int HEALED = 10; // windows after which a cut is over, whatever reports say
+
     /** What was met at a replica within a window. */
     private static final class Met {
         long settled;
@@ -70,6 +75,8 @@
     private final List<Spell> spells = new ArrayList<>();
     private final long[] cameIn;
     private final Map<Integer, long[]> answers = new TreeMap<>();
+    /** By window, ms that reports cover, of all proxies together. */
+    private final Map<Integer, Double> covered = new HashMap<>();
     private double first = Double.POSITIVE_INFINITY;
     private double last = Double.NEGATIVE_INFINITY;
 
@@ -111,13 +118,30 @@
                     told.add(t); // by whichever governor first
                 }
             }
-            case REPORT -> g.report = e;
+            case REPORT -> {
+                g.report = e;
+                covers(e.at() - e.d(2), e.at());
+            }
             case REPORT_MET -> met(governor, g, e);
             case REPORT_CAME -> came(governor, g, e);
             default -> { }
         }
     }
 
+    private void covers(double from, double to) {
+        for (int w = window(from); w <= window(to); w++) {
+            covered.merge(w, Math.max(0, Math.min(to, (w + 1) * WINDOW) - Math.max(from, w * WINDOW)), Double::sum);
+        }
+    }
+
+    /** Whether reports of a window tell of about all that there was: a governor that stands still hears of nothing. */
+    private boolean told(int w) {
+        double[] all = covered.values().stream().mapToDouble(x -> x).sorted().toArray();
+        double usual = all.length == 0 ? 0 : all[all.length / 2];
+        double here = covered.getOrDefault(w, 0.0);
+        return here >= COVERED * usual && here <= TWICE * usual && (w + 1) * WINDOW <= last;
+    }
+
     private int window(double at) {
         return (int) Math.floor(at / WINDOW);
     }
@@ -251,8 +275,25 @@
                 }
             }
         }
-        cut.forEach((z, all) -> runs(all, (from, to) -> spells.add(new Spell(Spell.What.CUT, z, from * WINDOW,
-                (to + 1) * WINDOW, 1))));
+        cut.forEach((z, all) -> runs(all, (from, to) -> spells.add(new Spell(Spell.What.CUT, z, (from - 0.5) * WINDOW,
+                healed(z, to) * WINDOW, 1))));
+    }
+
+    /** The window in which a zone and others answered each other again: failures stop before, for nobody tries. */
+    private int healed(int zone, int last) {
+        for (int w = last + 1; w < last + HEALED; w++) {
+            long settled = 0;
+            for (int other = 0; other < zones; other++) {
+                if (other != zone) {
+                    settled += between.getOrDefault(new Place(zone, other, w), new long[2])[0]
+                            + between.getOrDefault(new Place(other, zone, w), new long[2])[0];
+                }
+            }
+            if (settled >= FEW) {
+                return w;
+            }
+        }
+        return last + 1;
     }
 
     private interface Run {
@@ -260,10 +301,20 @@
     }
 
     /** Windows in a row, one missing between them at most. */
-    private static void runs(List<Integer> windows, Run to) {
+    private void runs(List<Integer> windows, Run to) {
         int from = 0;
         for (int i = 1; i <= windows.size(); i++) {
-            if (i == windows.size() || windows.get(i) > windows.get(i - 1) + 2) {
+            boolean apart = i == windows.size() || windows.get(i) > windows.get(i - 1) + 2;
+            for (int w = i < windows.size() && apart ? windows.get(i - 1) + 1 : Integer.MAX_VALUE; w < Integer.MAX_VALUE; w++) {
+                if (w >= windows.get(i)) { // all between tell of nothing
+                    apart = false;
+                    break;
+                }
+                if (told(w)) {
+                    break;
+                }
+            }
+            if (apart) {
                 to.run(windows.get(from), windows.get(i - 1));
                 from = i;
             }
@@ -275,14 +326,21 @@
         List<double[]> seen = new ArrayList<>(); // window, able, settled
         List<Integer> silent = new ArrayList<>();
         List<Integer> failing = new ArrayList<>();
-        double failed = 0;
+        double[][] out = down(replica, windows);
+        for (double[] o : out) {
+            spells.add(new Spell(Spell.What.DOWN, replica, o[0], o[1], 1));
+        }
         windows.forEach((w, m) -> {
-            if (m.settled >= FEW && m.busy() >= LEAST_BUSY) {
+            if (near(out, w)) {
+                return;
+            }
+            boolean fails = m.busy() < BUSY && m.voided >= FEW && m.voided > FAILS * (m.voided + m.settled);
+            if (m.settled >= FEW && m.busy() >= LEAST_BUSY && told(w) && !fails) {
                 seen.add(new double[] {w, m.settled * work / (WINDOW * m.busy()), m.settled});
             }
-            if (m.settled == 0 && m.voided > 0) {
+            if (m.settled == 0 && m.voided > 0 && told(w)) {
                 silent.add(w);
-            } else if (m.busy() < BUSY && m.voided >= FEW && m.voided > FAILS * (m.voided + m.settled) && !cutOff(replica, w)) {
+            } else if (fails && !cutOff(replica, w)) {
                 failing.add(w);
             }
         });
@@ -290,8 +348,17 @@
             return;
         }
         double[] values = seen.stream().mapToDouble(s -> s[1]).sorted().toArray();
-        double usual = values[values.length * 2 / 3]; // what slows it only ever takes away
-        double n = seen.stream().mapToDouble(s -> s[2]).sum();
+        double about = values[values.length * 3 / 5]; // what ails it only ever takes away
+        double settled = 0;
+        double busy = 0;
+        for (double[] s : seen) {
+            if (s[1] * MARKED >= about) { // sums of many windows, for each alone errs upwards as often as downwards
+                settled += s[2];
+                busy += s[2] / s[1];
+            }
+        }
+        double usual = settled / busy;
+        double n = settled;
         able.put(replica, usual);
         error.put(replica, Math.sqrt(2 / n) + spread(values, usual) / Math.sqrt(values.length));
         List<Integer> slow = new ArrayList<>();
@@ -314,7 +381,7 @@
                 spells.add(new Spell(Spell.What.SLOWER, replica, from * WINDOW, (to + 1) * WINDOW, sum / count));
             }
         });
-        outages(replica, windows, silent);
+        silences(replica, silent);
         runs(failing, (from, to) -> {
             long bad = 0;
             long all = 0;
@@ -337,28 +404,43 @@
                 && at - t.startedAt() < 8 * WINDOW);
     }
 
-    private void outages(long replica, TreeMap<Integer, Met> windows, List<Integer> silent) {
+    /** When its process was not there: the list tells when it began, and it fell silent when tries last ended well. */
+    private double[][] down(long replica, TreeMap<Integer, Met> windows) {
+        List<double[]> all = new ArrayList<>();
         double[] starts = told.stream().filter(t -> t.replica() == replica && t.startedAt() > 0)
-                .mapToDouble(Told::startedAt).distinct().sorted().toArray();
-        for (double start : starts) { // the list tells when it began; it fell silent when tries last ended well
-            Integer lastWell = null;
-            for (Map.Entry<Integer, Met> e : windows.headMap(window(start), false).entrySet()) {
-                lastWell = e.getValue().settled > 0 ? e.getKey() : lastWell;
+                .mapToDouble(Told::startedAt).sorted().toArray();
+        double before = Double.NEGATIVE_INFINITY;
+        for (double start : starts) {
+            if (start - before > SAME) {
+                int lastWell = Integer.MIN_VALUE;
+                for (Map.Entry<Integer, Met> e : windows.headMap(window(start), false).entrySet()) {
+                    lastWell = e.getValue().settled > 0 ? e.getKey() : lastWell;
+                }
+                double from = lastWell == Integer.MIN_VALUE ? start - WINDOW : (lastWell + 0.5) * WINDOW;
+                all.add(new double[] {Math.min(from, start - 1), start});
             }
-            double from = lastWell == null ? start - WINDOW : (lastWell + 0.5) * WINDOW;
-            spells.add(new Spell(Spell.What.DOWN, replica, Math.min(from, start - 1), start, 1));
+            before = start;
         }
+        return all.toArray(new double[0][]);
+    }
+
+    /** Whether a window is at the edge of an outage, or in it. */
+    private boolean near(double[][] out, int w) {
+        for (double[] o : out) {
+            if (w >= window(o[0]) - 1 && w <= window(o[1])) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void silences(long replica, List<Integer> silent) {
         runs(silent, (from, to) -> {
             double begin = from * WINDOW;
-            double end = (to + 1) * WINDOW;
-            boolean known = false;
-            for (double start : starts) {
-                known |= start >= begin - WINDOW && start - begin < 60_000;
-            }
             boolean left = told.stream().anyMatch(t -> t.replica() == replica && t.stage() != Choice.Stage.READY
                     && Math.abs(t.at() - begin) < 4 * WINDOW);
-            if (!known && !left && !cutOff(replica, from)) {
-                spells.add(new Spell(Spell.What.SILENT, replica, begin, end, 1));
+            if (!left && !cutOff(replica, from)) {
+                spells.add(new Spell(Spell.What.SILENT, replica, begin, (to + 1) * WINDOW, 1));
             }
         });
     }
--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -62,6 +62,7 @@
     private final Tables whose;
     private final Path folder;
     private final boolean captures;
+    private final Path with;
     private final Tape tape = new Tape(TAPE);
     private final Links links = new Links();
     private final Loop rosterLoop = Loop.started("roster");
@@ -87,10 +88,12 @@
 
     /**
      * @param logs folder for the governors' logs; null for one that is thrown away
+     * @param with records laid over each governor's station; null for none
      * @param captures governors' captures go there too, and what stand-ins know of the txns
      */
-    public Day(Script script, double lasts, Tables whose, Path logs, boolean captures) throws IOException {
+    public Day(Script script, double lasts, Tables whose, Path with, Path logs, boolean captures) throws IOException {
         this.captures = captures;
+        this.with = with;
         script.check();
         this.script = script;
         this.lasts = lasts;
@@ -176,7 +179,7 @@
             GovernorProcess p = new GovernorProcess(g, zone, port, folder,
                     script.station(g, "127.0.0.1:" + port, String.format(Locale.ROOT, "at: \"127.0.0.1:%d\", from: \"%s\", "
                             + "keep: \"%s\"", rosterPort, from.getHostAddress(), folder.resolve("list-" + g + ".json")),
-                            more(g, calls, peerPorts)));
+                            more(g, calls, peerPorts)), with);
             governors.add(p);
             p.start();
             List<Relay> byZone = new ArrayList<>();
--- a/src/main/java/sprucelanding/day/GovernorProcess.java
+++ b/src/main/java/sprucelanding/day/GovernorProcess.java
@@ -21,9 +21,11 @@
     final int port;
     private final Path config;
     private final Path log;
+    private final Path with;
     private Process process;
 
-    GovernorProcess(int number, int zone, int port, Path folder, String station) throws IOException {
+    GovernorProcess(int number, int zone, int port, Path folder, String station, Path with) throws IOException {
+        this.with = with;
         this.number = number;
         this.zone = zone;
         this.port = port;
@@ -35,9 +37,13 @@
     void start() {
         try {
             String java = ProcessHandle.current().info().command().orElse("java");
-            process = new ProcessBuilder(List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=4", "-cp",
-                    System.getProperty("java.class.path"), "sprucelanding.program.Main", "govern", "--config",
-                    config.toString())).redirectErrorStream(true)
+            List<String> command = new ArrayList<>(List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=4",
+                    "-cp", System.getProperty("java.class.path"), "sprucelanding.program.Main", "govern", "--config",
+                    config.toString()));
+            if (with != null) {
+                command.addAll(List.of("--with", with.toString()));
+            }
+            process = new ProcessBuilder(command).redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
         } catch (IOException e) {
             throw new java.io.UncheckedIOException("no governor can be started", e);
--- a/src/main/java/sprucelanding/day/Measure.java
+++ b/src/main/java/sprucelanding/day/Measure.java
@@ -41,6 +41,6 @@
                 new Script.Replicas(replicas, 0.25, 12_000, 600), new Script.Proxies(proxies, 6, devices, 0, "two", 5, 4000),
                 new Script.Governors(1, 30_000, 6, 60_000, 0, 10_000), TXNS, new Script.Clients(2, 100, 0.8),
                 new Script.Roster(2000, 500), new Script.Rules(4000, 6000, 3, 2000), troubles);
-        return new Day(script, lasts, Day.Tables.governors, null, false).play().table();
+        return new Day(script, lasts, Day.Tables.governors, null, null, false).play().table();
     }
 }
--- a/src/main/java/sprucelanding/day/Script.java
+++ b/src/main/java/sprucelanding/day/Script.java
@@ -59,6 +59,18 @@
         }
     }
 
+    /** The same day with other chances. */
+    public Script seeded(long other) {
+        return new Script(name, other, lasts, zones, kinds, products, replicas, proxies, governors, txns, clients, roster, rules,
+                troubles);
+    }
+
+    /** The same day with other troubles. */
+    public Script struck(List<Trouble> others) {
+        return new Script(name, seed, lasts, zones, kinds, products, replicas, proxies, governors, txns, clients, roster, rules,
+                List.copyOf(others));
+    }
+
     /** The kind of a replica, by its position. */
     public int kindOf(int replica) {
         double x = (replica * 0.6180339887 + 0.5) % 1;
--- a/src/main/java/sprucelanding/emulator/Emulation.java
+++ b/src/main/java/sprucelanding/emulator/Emulation.java
@@ -30,9 +30,11 @@
      * @param inForceP99 ms from an order to its acknowledgement
      * @param happened things that happened
      * @param took ms of this machine
+     * @param samples each second: s, load by zone, share let in by product, ms of the longest order to come in force
      */
     public record Result(Day.Outcome outcome, double service, double worst, double[] windows, long hash, long txns, long tries,
-            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, long happened, double took) {
+            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, long happened, double took,
+            List<double[]> samples) {
     }
 
     private final Script script;
@@ -131,7 +133,7 @@
         Day.Outcome outcome = e.figures.outcome(policy.name().toLowerCase(Locale.ROOT), lasts, verdicts, false, 0, 0, List.of());
         return new Result(outcome, e.figures.service(), outcome.figures().path("worst10s").asDouble(), windows, e.hash, e.txns,
                 e.figures.tries(), inForce.getValueAtPercentile(50) / 1000.0, inForce.getValueAtPercentile(99) / 1000.0, bugs,
-                verdicts, world.clock.done(), took);
+                verdicts, world.clock.done(), took, world.samples());
     }
 
     private void saw(Seen each) {
--- a/src/main/java/sprucelanding/emulator/Office.java
+++ b/src/main/java/sprucelanding/emulator/Office.java
@@ -38,6 +38,7 @@
     private int breakZone = -1;
     private int breakAfter;
     private int bugs;
+    private double longest;
 
     Office(World world, int number, int zone, Station station) {
         this.world = world;
@@ -230,6 +231,14 @@
     @Override
     public void inForce(Object way, double after) {
         inForce.recordValue((long) Math.max(0, after * 1000));
+        longest = Math.max(longest, after);
+    }
+
+    /** ms of the longest order to come in force since this was last asked. */
+    double longest() {
+        double most = longest;
+        longest = 0;
+        return most;
     }
 
     /** The roster tells something. */
--- a/src/main/java/sprucelanding/emulator/Proxy.java
+++ b/src/main/java/sprucelanding/emulator/Proxy.java
@@ -542,6 +542,12 @@
         picks();
     }
 
+    /** What it lets in of a product; 1 if it was told nothing. */
+    double share(int product) {
+        Route r = tables.routes.get(world.products.get(product));
+        return r == null ? 1 : r.share();
+    }
+
     private void picks() {
         for (int k = 0; k < world.products.size(); k++) {
             int n = tables.pickable(world.products.get(k));
--- a/src/main/java/sprucelanding/emulator/World.java
+++ b/src/main/java/sprucelanding/emulator/World.java
@@ -46,6 +46,7 @@
     private final List<Proxy> proxies = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
     private final Map<Long, Server> byId = new HashMap<>();
+    private final List<double[]> samples = new ArrayList<>();
     private final Set<Integer> cut = new HashSet<>();
     private final Emulation.Ears ears;
     private final Policy policy;
@@ -118,11 +119,41 @@
             clock.in(200, this::sets);
         }
         fate.befalls(this);
+        clock.at(begin(), this::sample);
         clock.at(begin(), () -> clients.forEach(Clients::start));
         double longest = script.products().stream().mapToDouble(Script.Ware::expiry).max().orElse(0);
         clock.run(end() + longest + 200);
     }
 
+    private void sample() {
+        double[] row = new double[1 + zones.size() + products.size() + 1];
+        row[0] = (clock.now() - begin()) / 1000;
+        int[] n = new int[zones.size()];
+        for (Server s : servers) {
+            if (s.up()) {
+                row[1 + s.zone] += s.util();
+                n[s.zone]++;
+            }
+        }
+        for (int z = 0; z < n.length; z++) {
+            row[1 + z] /= Math.max(1, n[z]);
+        }
+        for (int k = 0; k < products.size(); k++) {
+            for (Proxy p : proxies) {
+                row[1 + n.length + k] += p.share(k) / proxies.size();
+            }
+        }
+        offices.forEach(o -> row[row.length - 1] = Math.max(row[row.length - 1], o.longest()));
+        samples.add(row);
+        if (clock.now() < end()) {
+            clock.in(SECOND, this::sample);
+        }
+    }
+
+    List<double[]> samples() {
+        return samples;
+    }
+
     /** The troubles of its script. */
     void scripted() {
         Troubles troubles = new Troubles(script, this, chance);
--- /dev/null
+++ b/src/main/java/sprucelanding/lab/Charts.java
@@ -0,0 +1,69 @@
+package sprucelanding.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.awt.Color;
+import java.awt.geom.Rectangle2D;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+import org.jfree.svg.SVGGraphics2D;
+
+/** Time lines of trials, as SVG and PNG. */
+final class Charts {
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 360;
+    private static final double WINDOW = 5;
+
+    private Charts() {
+    }
+
+    /** Service by 5 s of several trials of a day, one line each. */
+    static void service(Path folder, String name, List<JsonNode> trials) throws IOException {
+        XYSeriesCollection lines = new XYSeriesCollection();
+        for (JsonNode t : trials) {
+            XYSeries line = new XYSeries(t.path("setting").asText() + ", seed " + t.path("seed").asLong(), false, true);
+            JsonNode windows = t.path("windows");
+            for (int i = 0; i < windows.size(); i++) {
+                line.add(i * WINDOW, windows.get(i).asDouble());
+            }
+            lines.addSeries(line);
+        }
+        draw(folder, name + "-service", "service by 5 s (simulated)", "service", lines);
+    }
+
+    /** What one trial was like, second by second: a column of its samples for each line. */
+    static void samples(Path folder, String name, String title, String axis, JsonNode trial, List<String> names, int from)
+            throws IOException {
+        XYSeriesCollection lines = new XYSeriesCollection();
+        for (int c = 0; c < names.size(); c++) {
+            XYSeries line = new XYSeries(names.get(c), false, true);
+            for (JsonNode row : trial.path("samples")) {
+                line.add(row.get(0).asDouble(), row.path(from + c).asDouble());
+            }
+            lines.addSeries(line);
+        }
+        draw(folder, name, title + " (simulated)", axis, lines);
+    }
+
+    private static void draw(Path folder, String name, String title, String axis, XYSeriesCollection lines) throws IOException {
+        JFreeChart chart = ChartFactory.createXYLineChart(title, "s", axis, lines);
+        chart.setBackgroundPaint(Color.WHITE);
+        XYPlot plot = chart.getXYPlot();
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+        plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+        SVGGraphics2D svg = new SVGGraphics2D(WIDTH, HEIGHT);
+        chart.draw(svg, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
+        Files.writeString(folder.resolve(name + ".svg"), svg.getSVGDocument());
+        File png = folder.resolve(name + ".png").toFile();
+        ChartUtils.saveChartAsPNG(png, chart, WIDTH, HEIGHT);
+    }
+}
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -24,7 +24,7 @@
         description = "Publishes routing tables to a fleet of plain proxies.",
         subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class, Commands.Edits.class,
                 Commands.Bench.class, Captures.class, Commands.Emulate.class,
-                Replays.class})
+                Replays.class, Labs.class})
 final class Commands {
     private Commands() {
     }
@@ -44,11 +44,15 @@
         private static final Logger LOG = LoggerFactory.getLogger("sprucelanding.govern");
         @Option(names = "--config", required = true, description = "its station, a file of records")
         private Path config;
+        @Option(names = "--with", description = "records laid over them")
+        private Path with;
 
         @Override
         public Integer call() throws Exception {
-            Station station = Records.read(config, Station.SCHEMA, Station.DEFINITION, Station.class);
-            Build.Built built = Build.build(station, java.nio.file.Files.readString(config));
+            String text = java.nio.file.Files.readString(config);
+            Station station = Records.parse(config.getFileName().toString(), text, String.valueOf(with),
+                    with == null ? null : java.nio.file.Files.readString(with), Station.SCHEMA, Station.DEFINITION, Station.class);
+            Build.Built built = Build.build(station, text);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 LOG.atInfo().setMessage("stops").log();
                 built.close();
@@ -73,13 +77,15 @@
         private Day.Tables tables;
         @Option(names = "--logs", description = "keep the governors' logs in this folder")
         private Path logs;
+        @Option(names = "--with", description = "records laid over each governor's station")
+        private Path with;
         @Option(names = "--captures", description = "governors' captures go there too, and what stand-ins know of the txns")
         private boolean captures;
 
         @Override
         public Integer call() throws Exception {
             Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
-            Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, logs, captures).play();
+            Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, with, logs, captures).play();
             System.out.print(outcome.table());
             if (report != null) {
                 outcome.write(report);
--- a/src/main/java/sprucelanding/program/Replays.java
+++ b/src/main/java/sprucelanding/program/Replays.java
@@ -33,6 +33,8 @@
     private Policy policy;
     @Option(names = "--runs", description = "with replicas as they may have been as well", defaultValue = "6")
     private int runs;
+    @Option(names = "--spells", description = "print all that befell the fleet, as estimated")
+    private boolean spells;
     @Option(names = "--windows", description = "print service by 5 s, then and again")
     private boolean byWindow;
 
@@ -52,6 +54,10 @@
                         these.get(0).from() / 1000, these.get(0).to() / 1000, these.get(0).whom(), these.get(0).size());
             }
         }
+        for (Spell s : spells ? fleet.spells() : List.<Spell>of()) {
+            System.out.printf(Locale.ROOT, "  %7.1f s to %7.1f s  %-15s %d  %.2f%n", s.from() / 1000, s.to() / 1000, s.what(),
+                    s.whom(), s.size());
+        }
         if (replay.original() != null) {
             System.out.printf(Locale.ROOT, "measured then: service %.3f, %d tries%n", replay.original().service(),
                     replay.original().tries());
--- a/src/main/java/sprucelanding/records/Records.java
+++ b/src/main/java/sprucelanding/records/Records.java
@@ -108,11 +108,11 @@
                 faults.add(chosen.place + ": " + field + ": no value is given; expected " + chosen.text());
                 return null;
             }
-            if (plain == double.class && p.value instanceof Double) {
+            if ((plain == double.class || plain == Double.class) && p.value instanceof Double) {
                 return p.value;
-            } else if (plain == int.class && p.value instanceof Double d) {
+            } else if ((plain == int.class || plain == Integer.class) && p.value instanceof Double d) {
                 return d.intValue();
-            } else if (plain == long.class && p.value instanceof Double d) {
+            } else if ((plain == long.class || plain == Long.class) && p.value instanceof Double d) {
                 return d.longValue();
             } else if (plain == boolean.class && p.value instanceof Boolean || plain == String.class
                     && p.value instanceof String) {
--- a/src/test/java/sprucelanding/capture/CaptureTest.java
+++ b/src/test/java/sprucelanding/capture/CaptureTest.java
@@ -64,9 +64,15 @@
             }
             if (n == 200) {
                 choice.listOpens(false, false);
-                choice.listed(4, 0, 0, 1, 0, Choice.Stage.GONE);
+                for (int r = 4; r <= 9; r++) {
+                    choice.listed(r, r % 2, 0, 1, 0, Choice.Stage.GONE);
+                }
                 choice.listCloses();
             }
+            if (n == 230) { // all that left is withdrawn again, for these
+                choice.joined(20, 0, 10, false);
+                choice.joined(21, 1, 10, false);
+            }
             choice.bell(n % 2);
             while (choice.decide(NOBODY)) {
                 continue;
--- a/src/test/java/sprucelanding/day/DayTest.java
+++ b/src/test/java/sprucelanding/day/DayTest.java
@@ -40,7 +40,7 @@
     @Timeout(120)
     void allRulesAreKeptOnAShortBadDay() throws Exception {
         Script script = Records.parse("short.cue", DAY, Script.SCHEMA, Script.DEFINITION, Script.class);
-        Day.Outcome outcome = new Day(script, script.lasts(), Day.Tables.governors, null, false).play();
+        Day.Outcome outcome = new Day(script, script.lasts(), Day.Tables.governors, null, null, false).play();
         assertTrue(outcome.kept(), outcome.table());
         for (String front : new String[] {"xds", "netconf"}) {
             assertTrue(outcome.figures().path("fronts").path(front).path("acknowledged").asInt() > 20, outcome.table());
