--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -221,7 +221,7 @@
             }
             List<InetSocketAddress> standing = standing(zone);
             on(proxyLoops[i % 2], () -> p.start(standing));
-            clients.add(new ClientStand(clientLoop, i, p.port(), wares, () -> usual * rateNow, script.clients().retries(),
+            clients.add(new ClientStand(clientLoop, i, new InetSocketAddress("127.0.0.1", p.port()), wares, () -> usual * rateNow, script.clients().retries(),
                     script.clients().pause(), script.clients().tryShare(), ids, tape, script.seed() * 3000 + i));
         }
     }
--- a/src/main/java/sprucelanding/emulator/Clients.java
+++ b/src/main/java/sprucelanding/emulator/Clients.java
@@ -14,6 +14,7 @@
         final int product;
         final double work;
         final double began = world.clock.now();
+        private final Clock.Due expiry;
         int tries;
         int asked;
         boolean over;
@@ -23,7 +24,7 @@
             this.product = product;
             this.work = work;
             world.saw(new Seen.Came(began, proxy.number, product, id, work));
-            world.clock.in(ware().expiry(), () -> end(Seen.Outcome.VOIDED));
+            expiry = world.clock.in(ware().expiry(), () -> end(Seen.Outcome.VOIDED));
         }
 
         private Script.Ware ware() {
@@ -71,6 +72,7 @@
         private void end(Seen.Outcome outcome) {
             if (!over) {
                 over = true;
+                expiry.cancel();
                 world.saw(new Seen.Ended(world.clock.now(), product, id, outcome, world.clock.now() - began));
             }
         }
--- a/src/main/java/sprucelanding/emulator/Proxy.java
+++ b/src/main/java/sprucelanding/emulator/Proxy.java
@@ -549,6 +549,7 @@
     }
 
     private void picks() {
+        tables.settle();
         for (int k = 0; k < world.products.size(); k++) {
             int n = tables.pickable(world.products.get(k));
             Integer was = told.put(k, n);
--- a/src/main/java/sprucelanding/model/Tables.java
+++ b/src/main/java/sprucelanding/model/Tables.java
@@ -1,6 +1,7 @@
 package sprucelanding.model;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,6 +23,44 @@
     public final Map<String, String> versions = new HashMap<>();
     public Map<String, Route> routes = Map.of();
 
+    private static final int DRAWS = 8;
+
+    /** Lines that may be picked, with the sums of their weights up to each. */
+    private record Drawn<K>(List<Line<K>> lines, double[] sums) {
+    }
+
+    private Map<String, Drawn<K>> settled = Map.of();
+
+    /** To be called after changes by those who pick far more often than tables change; else picks look at every line. */
+    public void settle() {
+        Map<String, Drawn<K>> next = new HashMap<>();
+        Map<String, Drawn<K>> byCluster = new HashMap<>();
+        routes.forEach((product, route) -> next.put(product, byCluster.computeIfAbsent(route.cluster(), c -> {
+            List<Line<K>> healthy = clusters.getOrDefault(c, Map.of()).values().stream().filter(l -> l.healthy).toList();
+            double[] sums = new double[healthy.size()];
+            double sum = 0;
+            for (int i = 0; i < sums.length; i++) {
+                sum += healthy.get(i).weight;
+                sums[i] = sum;
+            }
+            return new Drawn<>(healthy, sums);
+        })));
+        settled = next;
+    }
+
+    /** One that is not avoided, drawn by weight; null if none came up in a few draws. */
+    private Line<K> quickly(Drawn<K> from, Predicate<Line<K>> avoided, SplittableRandom chance) {
+        int n = from.sums.length;
+        for (int i = 0; n > 0 && i < DRAWS; i++) {
+            int at = Arrays.binarySearch(from.sums, chance.nextDouble() * from.sums[n - 1]);
+            Line<K> line = from.lines.get(Math.min(n - 1, at < 0 ? -at - 1 : at + 1));
+            if (!avoided.test(line)) {
+                return line;
+            }
+        }
+        return null;
+    }
+
     public Collection<Line<K>> lines(String product) {
         Route r = routes.get(product);
         if (r == null) {
@@ -41,6 +80,14 @@
     /** A line, none of those that are avoided unless there are no others; null if there is none at all. */
     public Line<K> pick(String product, Pick how, Predicate<Line<K>> avoided, ToIntFunction<Line<K>> open,
             SplittableRandom chance) {
+        Drawn<K> known = how == Pick.ROUND ? null : settled.get(product);
+        if (known != null) {
+            Line<K> a = quickly(known, avoided, chance);
+            Line<K> b = a == null || how == Pick.WEIGHTED ? a : quickly(known, avoided, chance);
+            if (b != null) {
+                return open.applyAsInt(a) <= open.applyAsInt(b) ? a : b;
+            }
+        }
         List<Line<K>> free = new ArrayList<>();
         double sum = 0;
         for (Line<K> l : lines(product)) {
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -11,6 +11,7 @@
 import picocli.CommandLine.Parameters;
 import sprucelanding.day.Day;
 import sprucelanding.day.EditRate;
+import sprucelanding.day.Load;
 import sprucelanding.day.Measure;
 import sprucelanding.day.Script;
 import sprucelanding.emulator.Emulation;
@@ -24,7 +25,7 @@
         description = "Publishes routing tables to a fleet of plain proxies.",
         subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class, Commands.Edits.class,
                 Commands.Bench.class, Captures.class, Commands.Emulate.class,
-                Replays.class, Labs.class})
+                Replays.class, Labs.class, Commands.Loads.class})
 final class Commands {
     private Commands() {
     }
@@ -139,6 +140,29 @@
         }
     }
 
+    @Command(name = "load", mixinStandardHelpOptions = true,
+            description = "A script's clients against proxies that run, open loop; waits count from when a txn was to come.")
+    static final class Loads implements Callable<Integer> {
+        @Parameters(paramLabel = "SCRIPT", description = "the day that names products and clients")
+        private Path script;
+        @Option(names = "--to", required = true, split = ",", paramLabel = "HOST:PORT", description = "proxies")
+        private String[] to;
+        @Option(names = "--txns", description = "a second in all (default: as the day has it)")
+        private double txns;
+        @Option(names = "--seconds", defaultValue = "30")
+        private double seconds;
+
+        @Override
+        public Integer call() throws Exception {
+            Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
+            StringBuilder table = new StringBuilder();
+            new Load(day, java.util.Arrays.stream(to).map(t -> Build.address(t, "--to")).toList(), txns > 0 ? txns : day.txns())
+                    .run(seconds * 1000, table);
+            System.out.print(table);
+            return 0;
+        }
+    }
+
     @Command(name = "check", mixinStandardHelpOptions = true, description = "Checks files of records.")
     static final class Check implements Callable<Integer> {
         @Parameters(paramLabel = "FILE", arity = "1..*", description = "stations or days")
--- a/src/main/java/sprucelanding/standin/ClientStand.java
+++ b/src/main/java/sprucelanding/standin/ClientStand.java
@@ -34,13 +34,15 @@
         final long id = ids.incrementAndGet();
         final int product;
         final String work;
-        final double began = Loop.now();
+        final double began;
         int tries;
         boolean over;
         boolean declined;
 
-        Txn(int product, double work) {
+        /** It began when it was to begin, even if this loop was late: else waits would be left out of the answer time. */
+        Txn(int product, double work, double planned) {
             this.product = product;
+            this.began = planned;
             this.work = String.format(Locale.ROOT, "%.2f", work);
             tape.saw(new Seen.Came(began, proxy, product, id, work));
         }
@@ -58,7 +60,7 @@
             byte[] request = Http.request("POST", "/" + w.name, "x-txn", Long.toString(id), "x-work", work, "x-left",
                     String.format(Locale.ROOT, "%.1f", Math.min(left, tryShare * w.expiry)));
             if (wire.conn == null) {
-                wire.conn = loop.dial(new InetSocketAddress("127.0.0.1", port), null, 65_536, wire);
+                wire.conn = loop.dial(at, null, 65_536, wire);
             }
             wire.conn.write(request);
             loop.in(left, () -> {
@@ -126,7 +128,7 @@
 
     private final Loop loop;
     private final int proxy;
-    private final int port;
+    private final InetSocketAddress at;
     private final List<Ware> wares;
     private final DoubleSupplier rate;
     private final int retries;
@@ -144,11 +146,11 @@
      * @param wait ms before a client's own repeat
      * @param tryShare share of expiry after which a try is given up
      */
-    public ClientStand(Loop loop, int proxy, int port, List<Ware> wares, DoubleSupplier rate, int retries, double wait,
+    public ClientStand(Loop loop, int proxy, InetSocketAddress at, List<Ware> wares, DoubleSupplier rate, int retries, double wait,
             double tryShare, AtomicLong ids, Tape tape, long seed) {
         this.loop = loop;
         this.proxy = proxy;
-        this.port = port;
+        this.at = at;
         this.wares = wares;
         this.rate = rate;
         this.retries = retries;
@@ -160,13 +162,18 @@
     }
 
     public void start() {
+        next(Loop.now());
+    }
+
+    private void next(double after) {
         double gap = -Math.log(1 - chance.nextDouble()) / Math.max(1e-6, rate.getAsDouble()) * 1000;
-        loop.in(Math.min(gap, 1000), () -> {
+        double at = after + Math.min(gap, 1000);
+        loop.at(at, () -> {
             if (!stopped) {
                 if (gap <= 1000) {
-                    arrive();
+                    arrive(at);
                 }
-                start();
+                next(at);
             }
         });
     }
@@ -175,13 +182,13 @@
         stopped = true;
     }
 
-    private void arrive() {
+    private void arrive(double planned) {
         double x = chance.nextDouble();
         int product = 0;
         while (product < wares.size() - 1 && x >= wares.get(product).share) {
             x -= wares.get(product++).share;
         }
         double work = -Math.log(1 - chance.nextDouble()) * wares.get(product).work;
-        new Txn(product, Math.min(work, 10 * wares.get(product).work)).send();
+        new Txn(product, Math.min(work, 10 * wares.get(product).work), planned).send();
     }
 }
