--- a/src/main/java/sprucelanding/delivery/Delivery.java
+++ b/src/main/java/sprucelanding/delivery/Delivery.java
@@ -333,7 +333,7 @@
     private boolean pull(LinkedHashSet<Holder> from, Acts acts, double most) {
         while (!from.isEmpty()) {
             Holder h = from.iterator().next();
-            if (waits > 0 && waits + head + h.owes() > most) {
+            if (waits > 0 && waits + head + owes(h) > most) {
                 return false; // until the channel has drained: it is looked at again with the clock
             }
             Message m = h.joined && !h.gone ? next(h) : null;
@@ -346,6 +346,22 @@
         return false;
     }
 
+    /** Lines that a proxy may have to be sent; of a table that goes whole, all. */
+    private int owes(Holder h) {
+        int all = 0;
+        for (Map.Entry<Kind, LinkedHashMap<Name, Long>> owed : h.owed.entrySet()) {
+            if (owed.getKey() == Kind.ENDPOINTS && !h.deltas) {
+                for (Name name : owed.getValue().keySet()) {
+                    all += Math.max(1, catalogue.sheet(name.table()).lines.size());
+                }
+            } else {
+                all += owed.getKey() == Kind.ROUTE ? owed.getValue().size() * Math.max(1, h.binding.size())
+                        : owed.getValue().size();
+            }
+        }
+        return all;
+    }
+
     /** On the host's periodic timer: who is behind, and who has been for too long. */
     public void look() {
         for (Holder h : List.copyOf(holders.values())) {
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -78,15 +78,6 @@
         return held.get(name);
     }
 
-    /** Names that may have to go. */
-    int owes() {
-        int all = 0;
-        for (LinkedHashMap<Name, Long> names : owed.values()) {
-            all += names.size();
-        }
-        return all;
-    }
-
     boolean opened(Kind kind) {
         return open.values().stream().anyMatch(m -> m.kind == kind);
     }
--- a/src/test/java/sprucelanding/delivery/DeliveryTest.java
+++ b/src/test/java/sprucelanding/delivery/DeliveryTest.java
@@ -74,6 +74,20 @@
         }
     }
 
+    @Test
+    void aWholeTableCountsWithAllItsLinesInTheChannel() {
+        for (int id = 0; id < 5; id++) {
+            host.dialsWhole(id);
+        }
+        host.ordinary(0, 1, 2, 3, 4);
+        host.settle();
+        host.now += 1000;
+        host.delivery.channel(1, 1, 11); // two tables of three lines and their heads, and some more
+        host.line(1, 50);
+        host.pull();
+        assertEquals(2, host.sent.size());
+    }
+
     @Test
     void whileOneIsUnansweredChangesMergeToTheNewest() {
         host.dials(7, Map.of());
--- a/src/test/java/sprucelanding/delivery/FakeProxies.java
+++ b/src/test/java/sprucelanding/delivery/FakeProxies.java
@@ -32,6 +32,19 @@
         return h;
     }
 
+    /** A proxy that takes whole states and asks for table 0. */
+    Holder dialsWhole(int id) {
+        Holder h = new Holder(id, Holder.Form.WHOLE, null);
+        holders.put(id, h);
+        held.put(id, new LinkedHashMap<>());
+        delivery.clock(now);
+        delivery.subscribed(h, Kind.CLUSTER, 0);
+        delivery.subscribed(h, Kind.ROUTE, 0);
+        delivery.subscribed(h, Kind.ENDPOINTS, 0);
+        delivery.joined(h);
+        return h;
+    }
+
     /** Three lines in table 0, and the proxy on it for product 0. */
     void ordinary(int... ids) {
         for (int replica = 1; replica <= 3; replica++) {
