One text for what proxies and clients decide, on sockets and emulated; twins folded

Read over once more: a proxy's further try, clients' own repeats, what was met at a replica and a txn's revenue stood twice; so did reading scripts, stations and overlays, and what is kept of the txns. Each stands once now (Route.again, Repeats, Met, Figures.got, Script.read, Station.parse, With, Truth). Dead fields are gone, the pick's name is read once a proxy instead of once a pick, the estimate finds its usual coverage once. replay takes its interval from Student's t as lab does, where it held 2.6 errors for any number of runs.

--- a/src/main/java/sprucelanding/capture/Log.java
+++ b/src/main/java/sprucelanding/capture/Log.java
@@ -5,8 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.function.Consumer;
 
@@ -116,8 +114,7 @@
             Thread.currentThread().interrupt();
         }
         stopped = true;
-        List<Full> rest = new ArrayList<>();
-        queue.drainTo(rest);
+        queue.clear();
     }
 
     /** Writes what waits, for five seconds at most. Not from another thread while one puts. */
--- a/src/main/java/sprucelanding/capture/estimate/Estimate.java
+++ b/src/main/java/sprucelanding/capture/estimate/Estimate.java
@@ -52,9 +52,9 @@
 
     private static final class Governor {
         double last = Double.NaN;
-        final Map<Integer, String> names = new HashMap<>();
         Event report;
-        double began = Double.NaN;
+        /** Of its present life something was heard. */
+        boolean began;
     }
 
     private record Counted(Reporter by, double at, double span, int product, long count) {
@@ -77,6 +77,7 @@
     private final Map<Integer, long[]> answers = new TreeMap<>();
     /** By window, ms that reports cover, of all proxies together. */
     private final Map<Integer, Double> covered = new HashMap<>();
+    private double usuallyCovered;
     private double first = Double.POSITIVE_INFINITY;
     private double last = Double.NEGATIVE_INFINITY;
 
@@ -90,8 +91,7 @@
     /** A governor that ran before under this number, and died, runs anew: its numbers of proxies are new as well. */
     public void life(int governor) {
         Governor g = governors.computeIfAbsent(governor, x -> new Governor());
-        g.names.clear();
-        g.began = Double.NaN;
+        g.began = false;
         zoneOf.keySet().removeIf(r -> r.governor == governor);
     }
 
@@ -102,10 +102,10 @@
         }
         Governor g = governors.computeIfAbsent(governor, x -> new Governor());
         if (e.at() - g.last > STILL) {
-            spells.add(new Spell(Double.isNaN(g.began) ? Spell.What.GOVERNOR_DEAD : Spell.What.GOVERNOR_PAUSED, governor,
+            spells.add(new Spell(!g.began ? Spell.What.GOVERNOR_DEAD : Spell.What.GOVERNOR_PAUSED, governor,
                     g.last, e.at(), 1));
         }
-        g.began = Double.isNaN(g.began) ? e.at() : g.began;
+        g.began = true;
         g.last = Double.isNaN(g.last) ? e.at() : Math.max(g.last, e.at());
         switch (e.what()) {
             case NAMED -> nameOf.put(new Reporter(governor, e.i(1)), e.s(2));
@@ -136,10 +136,8 @@
 
     /** Whether reports of a window tell of about all that there was: a governor that stands still hears of nothing. */
     private boolean told(int w) {
-        double[] all = covered.values().stream().mapToDouble(x -> x).sorted().toArray();
-        double usual = all.length == 0 ? 0 : all[all.length / 2];
         double here = covered.getOrDefault(w, 0.0);
-        return here >= COVERED * usual && here <= TWICE * usual && (w + 1) * WINDOW <= last;
+        return here >= COVERED * usuallyCovered && here <= TWICE * usuallyCovered && (w + 1) * WINDOW <= last;
     }
 
     private int window(double at) {
@@ -202,10 +200,13 @@
             first = truth.stream().mapToDouble(Asked::at).min().orElse(0);
             last = truth.stream().mapToDouble(Asked::at).max().orElse(0);
         }
+        double[] spans = covered.values().stream().mapToDouble(x -> x).sorted().toArray();
+        usuallyCovered = spans.length == 0 ? 0 : spans[spans.length / 2];
         cuts();
+        double work = meanWork();
         Map<Long, Double> able = new TreeMap<>();
         Map<Long, Double> error = new TreeMap<>();
-        met.forEach((replica, windows) -> replica(replica, windows, able, error));
+        met.forEach((replica, windows) -> replica(replica, windows, work, able, error));
         double day = first;
         List<Asked> asked = new ArrayList<>();
         (whole ? truth : inferred()).forEach(a -> asked.add(new Asked(a.at() - day, a.proxy(), a.product(), a.work())));
@@ -300,29 +301,27 @@
         void run(int from, int to);
     }
 
-    /** Windows in a row, one missing between them at most. */
+    /** Windows in a row: one may be missing between them, and any of which reports do not tell. */
     private void runs(List<Integer> windows, Run to) {
         int from = 0;
         for (int i = 1; i <= windows.size(); i++) {
-            boolean apart = i == windows.size() || windows.get(i) > windows.get(i - 1) + 2;
-            for (int w = i < windows.size() && apart ? windows.get(i - 1) + 1 : Integer.MAX_VALUE; w < Integer.MAX_VALUE; w++) {
-                if (w >= windows.get(i)) { // all between tell of nothing
-                    apart = false;
-                    break;
-                }
-                if (told(w)) {
-                    break;
-                }
-            }
-            if (apart) {
+            if (i == windows.size() || apart(windows.get(i - 1), windows.get(i))) {
                 to.run(windows.get(from), windows.get(i - 1));
                 from = i;
             }
         }
     }
 
-    private void replica(long replica, TreeMap<Integer, Met> windows, Map<Long, Double> able, Map<Long, Double> error) {
-        double work = meanWork();
+    private boolean apart(int one, int next) {
+        boolean told = false;
+        for (int w = one + 1; w < next; w++) {
+            told |= told(w);
+        }
+        return told && next > one + 2;
+    }
+
+    private void replica(long replica, TreeMap<Integer, Met> windows, double work, Map<Long, Double> able,
+            Map<Long, Double> error) {
         List<double[]> seen = new ArrayList<>(); // window, able, settled
         List<Integer> silent = new ArrayList<>();
         List<Integer> failing = new ArrayList<>();
@@ -340,7 +339,7 @@
             }
             if (m.settled == 0 && m.voided > 0 && told(w)) {
                 silent.add(w);
-            } else if (fails && !cutOff(replica, w)) {
+            } else if (fails && !cutOff(w)) {
                 failing.add(w);
             }
         });
@@ -393,9 +392,9 @@
         });
     }
 
-    private boolean cutOff(long replica, int w) {
-        return spells.stream().anyMatch(s -> s.what() == Spell.What.CUT && s.from() < (w + 1) * WINDOW && s.to() > w * WINDOW
-                && (replicaZone.getOrDefault(replica, -1) == s.whom() || zones > 1));
+    /** Whether some zone was cut off: then any replica may have failed for those on the other side. */
+    private boolean cutOff(int w) {
+        return spells.stream().anyMatch(s -> s.what() == Spell.What.CUT && s.from() < (w + 1) * WINDOW && s.to() > w * WINDOW);
     }
 
     /** It began so short a time before that it was still cold. */
@@ -439,7 +438,7 @@
             double begin = from * WINDOW;
             boolean left = told.stream().anyMatch(t -> t.replica() == replica && t.stage() != Choice.Stage.READY
                     && Math.abs(t.at() - begin) < 4 * WINDOW);
-            if (!left && !cutOff(replica, from)) {
+            if (!left && !cutOff(from)) {
                 spells.add(new Spell(Spell.What.SILENT, replica, begin, (to + 1) * WINDOW, 1));
             }
         });
--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -1,6 +1,5 @@
 package sprucelanding.day;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -28,10 +27,8 @@
 import sprucelanding.model.Machine;
 import sprucelanding.roster.Entry;
 import sprucelanding.rules.Judge;
-import sprucelanding.rules.Limits;
 import sprucelanding.rules.Seen;
 import sprucelanding.rules.Tape;
-import sprucelanding.rules.Verdict;
 import sprucelanding.standin.ClientStand;
 import sprucelanding.standin.DeviceStand;
 import sprucelanding.standin.Links;
@@ -202,16 +199,15 @@
         }
         double[] usuals = script.usuals();
         AtomicLong ids = new AtomicLong();
-        List<ClientStand.Ware> wares = script.products().stream().map(w -> new ClientStand.Ware(w.name(), w.part(),
-                w.work(), w.sla(), w.expiry(), w.retry().equals("safe"))).toList();
+        List<ClientStand.Ware> wares = Load.wares(script);
         for (int i = 0; i < usuals.length; i++) {
             int zone = i % zones.size();
             double usual = usuals[i];
             boolean takesEdits = i >= devicesFrom;
             boolean state = i < script.proxies().stateOfTheWorld() * usuals.length;
             ProxyStand p = new ProxyStand(proxyLoops[i % 2], transport, i, zone, zones.get(zone), usual, products,
-                    doors(zone, i, takesEdits ? callRelays : relays), new ProxyStand.Manner(script.proxies().pick(), script.proxies().ejectsAfter(),
-                    script.proxies().ejectsFor(), 250, 100, 1500, !state), links.from(3, zone, i), tape,
+                    doors(zone, i, takesEdits ? callRelays : relays), new ProxyStand.Manner(script.proxies().pick(),
+                    script.proxies().ejectsAfter(), script.proxies().ejectsFor(), 250, 100, 1500, !state), links.from(3, zone, i), tape,
                     script.seed() * 2000 + i);
             proxies.add(p);
             if (takesEdits) {
@@ -221,8 +217,9 @@
             }
             List<InetSocketAddress> standing = standing(zone);
             on(proxyLoops[i % 2], () -> p.start(standing));
-            clients.add(new ClientStand(clientLoop, i, new InetSocketAddress("127.0.0.1", p.port()), wares, () -> usual * rateNow, script.clients().retries(),
-                    script.clients().pause(), script.clients().tryShare(), ids, tape, script.seed() * 3000 + i));
+            clients.add(new ClientStand(clientLoop, i, new InetSocketAddress("127.0.0.1", p.port()), wares,
+                    () -> usual * rateNow, script.clients().repeats(), script.clients().tryShare(), ids, tape,
+                    script.seed() * 3000 + i));
         }
     }
 
@@ -528,7 +525,7 @@
         if (captures) {
             try (Log truth = new Log(folder.resolve("truth.cap"), script.name(), TRUTH_BLOCKS, Long.MAX_VALUE,
                     System.err::println)) {
-                Truth.write(seen, truth::put);
+                seen.forEach(each -> Truth.put(each, truth::put));
             }
         }
         return figures.outcome(whose.name(), lasts, judge.verdicts(), tape.overflowed(), cpu, memory, governors);
--- a/src/main/java/sprucelanding/day/Figures.java
+++ b/src/main/java/sprucelanding/day/Figures.java
@@ -33,6 +33,12 @@
         this.took = new double[script.products().size()];
     }
 
+    /** Revenue that a txn brought: all of it in time, a tenth late. */
+    public static double got(Seen.Ended e, Script script) {
+        double worth = script.products().get(e.product()).revenue();
+        return e.outcome() == Seen.Outcome.IN_TIME ? worth : e.outcome() == Seen.Outcome.LATE ? LATE_WORTH * worth : 0;
+    }
+
     /** The next thing seen, in the order of time. */
     public void see(Seen each) {
         begin = Double.isNaN(begin) ? each.at() : begin;
@@ -40,8 +46,7 @@
             ends[e.product()][e.outcome().ordinal()]++;
             took[e.product()] += e.outcome().ordinal() <= 1 ? e.took() : 0;
             double worth = script.products().get(e.product()).revenue();
-            double got = e.outcome() == Seen.Outcome.IN_TIME ? worth
-                    : e.outcome() == Seen.Outcome.LATE ? LATE_WORTH * worth : 0;
+            double got = got(e, script);
             asked += worth;
             earned += got;
             double[] w = windows.computeIfAbsent((int) ((e.at() - e.took() - begin) / WINDOW), x -> new double[2]);
--- a/src/main/java/sprucelanding/day/Load.java
+++ b/src/main/java/sprucelanding/day/Load.java
@@ -30,17 +30,22 @@
         this.txns = txns;
     }
 
+    /** A script's products as clients know them. */
+    static List<ClientStand.Ware> wares(Script script) {
+        return script.products().stream().map(w -> new ClientStand.Ware(w.name(), w.part(), w.work(), w.sla(), w.expiry(),
+                w.retry().equals("safe"))).toList();
+    }
+
     /** Runs for so many ms, and until the last txn has ended; a table with us by product. */
     public List<Histogram> run(double lasts, StringBuilder table) throws InterruptedException {
         Tape tape = new Tape(TAPE);
         Loop loop = Loop.started("load");
         AtomicLong ids = new AtomicLong();
-        List<ClientStand.Ware> wares = script.products().stream().map(w -> new ClientStand.Ware(w.name(), w.part(), w.work(),
-                w.sla(), w.expiry(), w.retry().equals("safe"))).toList();
+        List<ClientStand.Ware> wares = wares(script);
         List<ClientStand> clients = new ArrayList<>();
         for (int i = 0; i < proxies.size(); i++) {
-            clients.add(new ClientStand(loop, i, proxies.get(i), wares, () -> txns / proxies.size(), script.clients().retries(),
-                    script.clients().pause(), script.clients().tryShare(), ids, tape, script.seed() * 3000 + i));
+            clients.add(new ClientStand(loop, i, proxies.get(i), wares, () -> txns / proxies.size(),
+                    script.clients().repeats(), script.clients().tryShare(), ids, tape, script.seed() * 3000 + i));
         }
         clients.forEach(c -> loop.hand(c::start));
         Thread.sleep((long) lasts);
--- a/src/main/java/sprucelanding/day/Script.java
+++ b/src/main/java/sprucelanding/day/Script.java
@@ -1,8 +1,13 @@
 package sprucelanding.day;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import sprucelanding.model.Repeats;
+import sprucelanding.records.Invalid;
+import sprucelanding.records.Records;
 import sprucelanding.rules.Limits;
 
 /** A day as it is scripted; day.cue says what each is, with its bounds. Times in ms. */
@@ -27,6 +32,9 @@
     }
 
     public record Clients(int retries, double pause, double tryShare) {
+        public Repeats repeats() {
+            return new Repeats(retries, pause);
+        }
     }
 
     public record Roster(double notices, double adds) {
@@ -45,6 +53,11 @@
     public static final String SCHEMA = "day.cue";
     public static final String DEFINITION = "#Day";
 
+    /** Reads a script; throws Invalid with all its faults, or IOException. */
+    public static Script read(Path file) throws Invalid, IOException {
+        return Records.read(file, SCHEMA, DEFINITION, Script.class);
+    }
+
     /** What types alone cannot say; throws IllegalArgumentException with the field. */
     public void check() {
         for (int i = 0; i < troubles.size(); i++) {
--- a/src/main/java/sprucelanding/day/Truth.java
+++ b/src/main/java/sprucelanding/day/Truth.java
@@ -1,24 +1,22 @@
 package sprucelanding.day;
 
-import java.util.List;
 import sprucelanding.capture.Overheard;
 import sprucelanding.capture.What;
 import sprucelanding.rules.Seen;
 
 /** What stand-ins know of the txns, as a capture of its own. */
-final class Truth {
+public final class Truth {
     private Truth() {
     }
 
-    static void write(List<Seen> seen, Overheard.Sink to) {
-        for (Seen each : seen) {
-            if (each instanceof Seen.Came c) {
-                to.put(c.at(), What.TXN, c.at(), c.product(), c.txn(), c.work(), c.proxy());
-            } else if (each instanceof Seen.Ended e) {
-                to.put(e.at(), What.ENDED, e.at(), e.product(), e.txn(), e.outcome().ordinal(), e.took());
-            } else if (each instanceof Seen.Effect e) {
-                to.put(e.at(), What.RAN, e.at(), e.replica(), e.product(), e.proxy(), e.attempt());
-            }
+    /** What is not about a txn is left out. */
+    public static void put(Seen each, Overheard.Sink to) {
+        if (each instanceof Seen.Came c) {
+            to.put(c.at(), What.TXN, c.at(), c.product(), c.txn(), c.work(), c.proxy());
+        } else if (each instanceof Seen.Ended e) {
+            to.put(e.at(), What.ENDED, e.at(), e.product(), e.txn(), e.outcome().ordinal(), e.took());
+        } else if (each instanceof Seen.Effect e) {
+            to.put(e.at(), What.RAN, e.at(), e.replica(), e.product(), e.proxy(), e.attempt());
         }
     }
 }
--- a/src/main/java/sprucelanding/emulator/Clients.java
+++ b/src/main/java/sprucelanding/emulator/Clients.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 import sprucelanding.day.Script;
+import sprucelanding.model.Repeats;
 import sprucelanding.rules.Seen;
 
 /**
@@ -61,9 +62,8 @@
                 return;
             }
             declined = status == 503;
-            double wait = world.script.clients().pause();
-            if (tries <= world.script.clients().retries() && (world.safe(product) || unrun) && took + wait < ware().expiry()) {
-                world.clock.in(wait * (0.5 + waits.nextDouble()), this::send);
+            if (repeats.again(tries, world.safe(product), unrun, took, ware().expiry())) {
+                world.clock.in(repeats.wait(waits.nextDouble()), this::send);
             } else {
                 end(declined ? Seen.Outcome.DECLINED : Seen.Outcome.VOIDED);
             }
@@ -81,12 +81,14 @@
     private final World world;
     private final Proxy proxy;
     private final Demand demand;
+    private final Repeats repeats;
     private final SplittableRandom waits;
 
     Clients(World world, Proxy proxy, Demand demand, long seed) {
         this.world = world;
         this.proxy = proxy;
         this.demand = demand;
+        this.repeats = world.script.clients().repeats();
         this.waits = new SplittableRandom(seed);
     }
 
--- a/src/main/java/sprucelanding/emulator/Clock.java
+++ b/src/main/java/sprucelanding/emulator/Clock.java
@@ -29,7 +29,6 @@
     private final PriorityQueue<Due> due = new PriorityQueue<>(4096);
     private double now;
     private long order;
-    private long done;
 
     /** @param now ms; above 0, for 0 stands for long ago */
     Clock(double now) {
@@ -40,11 +39,6 @@
         return now;
     }
 
-    /** How much has happened. */
-    long done() {
-        return done;
-    }
-
     Due at(double time, Runnable what) {
         Due d = new Due(Math.max(now, time), order++, what);
         due.add(d);
@@ -60,7 +54,6 @@
             Due next = due.poll();
             if (next.what != null) {
                 now = next.at;
-                done++;
                 next.what.run();
             }
         }
--- a/src/main/java/sprucelanding/emulator/Emulation.java
+++ b/src/main/java/sprucelanding/emulator/Emulation.java
@@ -11,7 +11,6 @@
 import sprucelanding.day.Figures;
 import sprucelanding.day.Script;
 import sprucelanding.records.Invalid;
-import sprucelanding.records.Records;
 import sprucelanding.rules.Judge;
 import sprucelanding.rules.Seen;
 import sprucelanding.rules.Verdict;
@@ -20,7 +19,6 @@
 /** One emulated day, from script and settings to figures. */
 public final class Emulation {
     private static final double WINDOW = 5000;
-    private static final double LATE_WORTH = 0.1;
 
     /**
      * What came of it.
@@ -28,13 +26,11 @@
      * @param windows service of each 5 s, by when txns came
      * @param hash of all that was seen: equal for equal days
      * @param inForceP99 ms from an order to its acknowledgement
-     * @param happened things that happened
      * @param took ms of this machine
      * @param samples each second: s, load by zone, share let in by product, ms of the longest order to come in force
      */
     public record Result(Day.Outcome outcome, double service, double worst, double[] windows, long hash, long txns, long tries,
-            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, long happened, double took,
-            List<double[]> samples) {
+            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, double took, List<double[]> samples) {
     }
 
     private final Script script;
@@ -80,8 +76,7 @@
         List<Station> all = new ArrayList<>();
         for (int g = 0; g < script.governors().count(); g++) {
             String text = script.station(g, "127.0.0.1:1", "at: \"127.0.0.1:2\"", "peers: others: []\n");
-            all.add(Records.parse("governor " + g, text, overlayName, overlay, Station.SCHEMA, Station.DEFINITION,
-                    Station.class));
+            all.add(Station.parse("governor " + g, text, overlayName, overlay));
         }
         return all;
     }
@@ -97,27 +92,7 @@
     static Result play(Script script, double lasts, List<World.Born> born, List<Station> stations, Policy policy,
             IntFunction<Demand> demand, World.Fate fate, long seed, Ears also) {
         Emulation e = new Emulation(script, also);
-        World world = new World(script, lasts, born, stations, policy, demand, fate, seed, new Ears() {
-            @Override
-            public void saw(Seen what) {
-                e.saw(what);
-            }
-
-            @Override
-            public boolean logs() {
-                return also.logs();
-            }
-
-            @Override
-            public void logged(String line) {
-                also.logged(line);
-            }
-
-            @Override
-            public Overheard.Sink capture(int governor, int life) {
-                return also.capture(governor, life);
-            }
-        });
+        World world = new World(script, lasts, born, stations, policy, demand, fate, seed, e::saw, also);
         e.clientsBegin = world.begin();
         long began = System.nanoTime();
         world.run();
@@ -133,7 +108,7 @@
         Day.Outcome outcome = e.figures.outcome(policy.name().toLowerCase(Locale.ROOT), lasts, verdicts, false, 0, 0, List.of());
         return new Result(outcome, e.figures.service(), outcome.figures().path("worst10s").asDouble(), windows, e.hash, e.txns,
                 e.figures.tries(), inForce.getValueAtPercentile(50) / 1000.0, inForce.getValueAtPercentile(99) / 1000.0, bugs,
-                verdicts, world.clock.done(), took, world.samples());
+                verdicts, took, world.samples());
     }
 
     private void saw(Seen each) {
@@ -154,10 +129,9 @@
 
     /** Adds a txn to its window's revenue, got and asked for. */
     static void window(TreeMap<Integer, double[]> windows, Seen.Ended x, double begin, Script script) {
-        double worth = script.products().get(x.product()).revenue();
         double[] w = windows.computeIfAbsent((int) ((x.at() - x.took() - begin) / WINDOW), k -> new double[2]);
-        w[0] += x.outcome() == Seen.Outcome.IN_TIME ? worth : x.outcome() == Seen.Outcome.LATE ? LATE_WORTH * worth : 0;
-        w[1] += worth;
+        w[0] += Figures.got(x, script);
+        w[1] += script.products().get(x.product()).revenue();
     }
 
     private void mix(long what) {
--- a/src/main/java/sprucelanding/emulator/Office.java
+++ b/src/main/java/sprucelanding/emulator/Office.java
@@ -19,7 +19,7 @@
 /** A governor's process: the core of the service on virtual time, which can die, start anew, or be paused. */
 final class Office implements Round.Host {
     private static final double ROUND = 0.1; // ms until a batch of what came is settled
-    private static final double STARTS = 900; // ms from its start until it listens
+    static final double STARTS = 900; // ms from its start until it listens
 
     final int number;
     final int zone;
--- a/src/main/java/sprucelanding/emulator/Proxy.java
+++ b/src/main/java/sprucelanding/emulator/Proxy.java
@@ -16,6 +16,7 @@
 import sprucelanding.intake.Report;
 import sprucelanding.model.Gate;
 import sprucelanding.model.Line;
+import sprucelanding.model.Met;
 import sprucelanding.model.Route;
 import sprucelanding.model.Shunned;
 import sprucelanding.model.Tables;
@@ -31,18 +32,8 @@
     private static final double CONNECTS = 250;
     private static final double REDIAL_LEAST = 100;
     private static final double REDIAL_MOST = 1500;
-    private static final double SPARE = 10; // ms that must be left for another try
     private static final Route.Retry[] RETRIES = Route.Retry.values();
 
-    private static final class Met {
-        long issued;
-        long settled;
-        long voided;
-        double answers;
-        double loads;
-        long told;
-    }
-
     private final class Txn {
         final Client client;
         final int product;
@@ -153,25 +144,13 @@
             }
             open[at.number]--;
             double now = world.clock.now();
-            Met m = met(at);
-            if (status == 200) {
-                m.settled++;
-                m.answers += now - began;
-            } else {
-                m.voided++;
-            }
-            if (util >= 0) {
-                m.loads += util;
-                m.told++;
-            }
+            met(at).ended(status == 200, now - began, util);
             shunned.ended(at, status == 200, now);
             if (status == 200) {
                 txn.client.answered(200, false);
                 return;
             }
-            Route r = tables.routes.get(world.products.get(txn.product));
-            Route.Retry retry = r == null ? Route.Retry.NEVER : r.retry();
-            if (txn.tries < 2 && now + SPARE < txn.until && (retry == Route.Retry.ANY || retry == Route.Retry.UNRUN && unrun)) {
+            if (Route.again(tables.routes.get(world.products.get(txn.product)), txn.tries, unrun, txn.until - now)) {
                 txn.before = at;
                 txn.next();
             } else {
--- a/src/main/java/sprucelanding/emulator/Replay.java
+++ b/src/main/java/sprucelanding/emulator/Replay.java
@@ -26,7 +26,6 @@
 import sprucelanding.day.Figures;
 import sprucelanding.day.Script;
 import sprucelanding.records.Invalid;
-import sprucelanding.records.Records;
 import sprucelanding.roster.Entry;
 import sprucelanding.rules.Seen;
 import sprucelanding.station.Station;
@@ -37,8 +36,6 @@
  */
 public final class Replay {
     private static final Pattern FILE = Pattern.compile("governor-(\\d+)\\.cap(?:\\.(\\d+))?");
-    private static final double STARTS = 900;
-    private static final double WINDOW = 5000;
 
     private final Script script;
     private final Fleet fleet;
@@ -151,8 +148,7 @@
     public List<Station> stations(String overlayName, String overlay) throws Invalid {
         List<Station> all = new ArrayList<>();
         for (int g = 0; g < stations.size(); g++) {
-            all.add(Records.parse("station of governor " + g, stations.get(g), overlayName, overlay, Station.SCHEMA,
-                    Station.DEFINITION, Station.class));
+            all.add(Station.parse("station of governor " + g, stations.get(g), overlayName, overlay));
         }
         return all;
     }
@@ -239,7 +235,7 @@
             }
             boolean ofReplica = s.what().compareTo(Spell.What.CUT) < 0;
             if (!ofReplica || i != null) {
-                double early = s.what() == Spell.What.GOVERNOR_DEAD ? STARTS : 0;
+                double early = s.what() == Spell.What.GOVERNOR_DEAD ? Office.STARTS : 0;
                 w.clock.at(day + s.from(), on);
                 w.clock.at(day + Math.max(s.from(), s.to() - early), off);
             }
@@ -285,7 +281,7 @@
         }
     }
 
-    /** Of the 5 s windows that both have, how many are within so much of each other; and the most that one is off. */
+    /** Of the 5 s windows that both have: how many there are, how many are within so much of each other, the most that one is off. */
     public double[] agreement(double[] replayed, double within) {
         int n = Math.min(windows.length, replayed.length);
         int near = 0;
@@ -295,6 +291,6 @@
             near += off <= within ? 1 : 0;
             most = Math.max(most, off);
         }
-        return new double[] {n, near, most, WINDOW};
+        return new double[] {n, near, most};
     }
 }
--- a/src/main/java/sprucelanding/emulator/World.java
+++ b/src/main/java/sprucelanding/emulator/World.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import sprucelanding.capture.Overheard;
 import sprucelanding.day.Fleet;
@@ -48,6 +49,7 @@
     private final Map<Long, Server> byId = new HashMap<>();
     private final List<double[]> samples = new ArrayList<>();
     private final Set<Integer> cut = new HashSet<>();
+    private final Consumer<Seen> seen;
     private final Emulation.Ears ears;
     private final Policy policy;
     private final SplittableRandom chance;
@@ -70,13 +72,15 @@
      * @param stations by governor
      * @param demand by proxy
      * @param seed of what is not demand: picks, waits, failures
+     * @param seen told all that stand-ins on sockets would note, in order
      */
     World(Script script, double lasts, List<Born> born, List<Station> stations, Policy policy, IntFunction<Demand> demand,
-            Fate fate, long seed, Emulation.Ears ears) {
+            Fate fate, long seed, Consumer<Seen> seen, Emulation.Ears ears) {
         this.script = script;
         this.lasts = lasts;
         this.policy = policy;
         this.fate = fate;
+        this.seen = seen;
         this.ears = ears;
         this.chance = new SplittableRandom(script.seed());
         this.zones = script.zones();
@@ -216,7 +220,7 @@
     }
 
     void saw(Seen what) {
-        ears.saw(what);
+        seen.accept(what);
     }
 
     void log(int governor, String text, Object... figures) {
--- a/src/main/java/sprucelanding/fleet/Peers.java
+++ b/src/main/java/sprucelanding/fleet/Peers.java
@@ -133,8 +133,7 @@
         }
         if (k.state() == State.LEFT && k.incarnation() >= m.incarnation) {
             state(m, State.LEFT);
-        } else if (newer && (k.state() == State.ALIVE || k.state() == State.SUSPECT)
-                && (refutes || m.state == State.SUSPECT || m.state == State.DEAD && m.number == k.number())) {
+        } else if (newer && (k.state() == State.ALIVE || k.state() == State.SUSPECT) && (refutes || m.state != State.LEFT)) {
             state(m, State.ALIVE);
         } else if (k.state() == State.DEAD && k.incarnation() >= m.incarnation && m.state == State.SUSPECT) {
             state(m, State.DEAD); // two that hear nothing agree
--- a/src/main/java/sprucelanding/lab/Lab.java
+++ b/src/main/java/sprucelanding/lab/Lab.java
@@ -27,14 +27,12 @@
     private static final double BROKEN = 10; // a loss that a broken rule counts for
 
     private final Experiment experiment;
-    private final Path folder;
     private final Map<String, String> dayTexts = new LinkedHashMap<>();
     private final Map<String, Script> days = new LinkedHashMap<>();
     private final Map<String, String> overlays = new LinkedHashMap<>();
 
-    private Lab(Experiment experiment, Path folder) {
+    private Lab(Experiment experiment) {
         this.experiment = experiment;
-        this.folder = folder;
     }
 
     /** Reads an experiment and all files that it names, beside it; throws Invalid or IOException, which name the file. */
@@ -42,11 +40,11 @@
         Experiment e = Records.read(file, Experiment.SCHEMA, Experiment.DEFINITION, Experiment.class);
         e.check();
         Path folder = file.toAbsolutePath().getParent();
-        Lab lab = new Lab(e, folder);
+        Lab lab = new Lab(e);
         for (String day : e.days()) {
             Path at = folder.resolve(day);
             lab.dayTexts.put(day, Files.readString(at));
-            Script script = Records.read(at, Script.SCHEMA, Script.DEFINITION, Script.class);
+            Script script = Script.read(at);
             script.check();
             lab.days.put(day, script);
         }
@@ -65,8 +63,12 @@
 
     private Trial trial(String day, Experiment.Setting s, long seed) {
         Script script = days.get(day);
-        double lasts = experiment.seconds() > 0 ? Math.min(experiment.seconds(), script.lasts()) : script.lasts();
-        return new Trial(day, dayTexts.get(day), script, s.name(), s.with(), overlays.get(s.name()), s.whose(), seed, lasts);
+        return new Trial(day, dayTexts.get(day), script, s.name(), s.with(), overlays.get(s.name()), s.whose(), seed,
+                lasts(script));
+    }
+
+    private double lasts(Script script) {
+        return experiment.seconds() > 0 ? Math.min(experiment.seconds(), script.lasts()) : script.lasts();
     }
 
     private List<Trial> trials() {
@@ -86,8 +88,9 @@
      * @return trials that were run
      */
     public int run(Results results, int cores, Consumer<String> progress) throws IOException, InterruptedException {
-        List<Trial> open = trials().stream().filter(t -> !results.has(t.key())).toList();
-        progress.accept(open.size() + " trials to run, " + (trials().size() - open.size()) + " are there");
+        List<Trial> trials = trials();
+        List<Trial> open = trials.stream().filter(t -> !results.has(t.key())).toList();
+        progress.accept(open.size() + " trials to run, " + (trials.size() - open.size()) + " are there");
         AtomicInteger done = new AtomicInteger();
         ExecutorService pool = Executors.newFixedThreadPool(cores);
         try {
@@ -170,10 +173,11 @@
     /** Charts of each day: all settings at the first seed, and second by second what the first setting made of it. */
     public void charts(Results results, Path into) throws IOException {
         Files.createDirectories(into);
+        List<Trial> trials = trials();
         for (String day : experiment.days()) {
             List<JsonNode> all = new ArrayList<>();
-            for (Trial t : trials()) {
-                if (t.day().equals(day) && t.seed() == trials().get(0).seed() && results.has(t.key())) {
+            for (Trial t : trials) {
+                if (t.day().equals(day) && t.seed() == trials.get(0).seed() && results.has(t.key())) {
                     all.add(results.get(t.key()));
                 }
             }
@@ -204,7 +208,7 @@
         }
         String day = experiment.days().get(0);
         Script script = days.get(day);
-        double lasts = experiment.seconds() > 0 ? Math.min(experiment.seconds(), script.lasts()) : script.lasts();
+        double lasts = lasts(script);
         Hunt hunt = new Hunt(s, script.zones(), lasts, script.seed());
         List<List<Script.Trouble>> drawn = new ArrayList<>();
         for (int i = 0; i < s.tries(); i++) {
@@ -260,9 +264,4 @@
         boolean own = !both[0].outcome().kept() && both[1].outcome().kept() && experiment.setting(names[0]).whose() == Policy.GOVERNORS;
         return both[1].service() - both[0].service() + (own ? BROKEN : 0);
     }
-
-    /** Where the experiment's files are. */
-    public Path folder() {
-        return folder;
-    }
 }
--- a/src/main/java/sprucelanding/lab/Paired.java
+++ b/src/main/java/sprucelanding/lab/Paired.java
@@ -6,7 +6,7 @@
 
 /** Differences of pairs: their mean, and the half width of its 95% interval by Student's t; infinite for fewer than two. */
 public record Paired(int pairs, double mean, double half) {
-    static Paired of(List<Double> differences) {
+    public static Paired of(List<Double> differences) {
         int n = differences.size();
         double mean = differences.stream().mapToDouble(d -> d).average().orElse(0);
         if (n < 2) {
--- a/src/main/java/sprucelanding/program/Captures.java
+++ b/src/main/java/sprucelanding/program/Captures.java
@@ -15,7 +15,6 @@
 import sprucelanding.capture.Kept;
 import sprucelanding.capture.What;
 import sprucelanding.core.Straight;
-import sprucelanding.records.Records;
 import sprucelanding.station.Parts;
 import sprucelanding.station.Station;
 
@@ -91,8 +90,7 @@
         @Override
         public Integer call() throws Exception {
             Kept kept = Kept.read(file);
-            Station station = Records.parse(file + " (its station)", kept.station(), Station.SCHEMA, Station.DEFINITION,
-                    Station.class);
+            Station station = Station.parse(file + " (its station)", kept.station(), null, null);
             Again again = new Again(new Straight(Parts.module(station)));
             kept.each(again::event);
             System.out.printf(Locale.ROOT, "%d decisions, %d orders%n", again.decisions(), again.orders());
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -1,12 +1,15 @@
 package sprucelanding.program;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.concurrent.Callable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sprucelanding.day.Day;
@@ -23,9 +26,9 @@
 /** The sub-commands. Exit codes: 0 well, 1 it failed or a rule broke, 2 what was given cannot be used. */
 @Command(name = "sprucelanding", mixinStandardHelpOptions = true, version = "0.2.0",
         description = "Publishes routing tables to a fleet of plain proxies.",
-        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class, Commands.Edits.class,
-                Commands.Bench.class, Captures.class, Commands.Emulate.class,
-                Replays.class, Labs.class, Commands.Loads.class})
+        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class,
+                Commands.Edits.class, Commands.Bench.class, Captures.class, Commands.Emulate.class, Replays.class, Labs.class,
+                Commands.Loads.class})
 final class Commands {
     private Commands() {
     }
@@ -45,14 +48,13 @@
         private static final Logger LOG = LoggerFactory.getLogger("sprucelanding.govern");
         @Option(names = "--config", required = true, description = "its station, a file of records")
         private Path config;
-        @Option(names = "--with", description = "records laid over them")
-        private Path with;
+        @Mixin
+        private With with;
 
         @Override
         public Integer call() throws Exception {
-            String text = java.nio.file.Files.readString(config);
-            Station station = Records.parse(config.getFileName().toString(), text, String.valueOf(with),
-                    with == null ? null : java.nio.file.Files.readString(with), Station.SCHEMA, Station.DEFINITION, Station.class);
+            String text = Files.readString(config);
+            Station station = Station.parse(config.getFileName().toString(), text, with.name(), with.text());
             Build.Built built = Build.build(station, text);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 LOG.atInfo().setMessage("stops").log();
@@ -78,15 +80,15 @@
         private Day.Tables tables;
         @Option(names = "--logs", description = "keep the governors' logs in this folder")
         private Path logs;
-        @Option(names = "--with", description = "records laid over each governor's station")
-        private Path with;
+        @Mixin
+        private With with;
         @Option(names = "--captures", description = "governors' captures go there too, and what stand-ins know of the txns")
         private boolean captures;
 
         @Override
         public Integer call() throws Exception {
-            Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
-            Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, with, logs, captures).play();
+            Script day = Script.read(script);
+            Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, with.file(), logs, captures).play();
             System.out.print(outcome.table());
             if (report != null) {
                 outcome.write(report);
@@ -105,8 +107,8 @@
         @Option(names = "--policy", description = "whose tables: ${COMPLETION-CANDIDATES} (default: GOVERNORS)",
                 defaultValue = "GOVERNORS")
         private Policy policy;
-        @Option(names = "--with", description = "records laid over each governor's station")
-        private Path with;
+        @Mixin
+        private With with;
         @Option(names = "--report", description = "write the figures there too, as JSON")
         private Path report;
         @Option(names = "--log", description = "print what governors log")
@@ -114,10 +116,9 @@
 
         @Override
         public Integer call() throws Exception {
-            Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
-            String over = with == null ? null : java.nio.file.Files.readString(with);
+            Script day = Script.read(script);
             Emulation.Result r = Emulation.play(day, seconds > 0 ? seconds * 1000 : day.lasts(),
-                    Emulation.stations(day, with == null ? null : with.toString(), over), policy,
+                    Emulation.stations(day, with.name(), with.text()), policy,
                     new Emulation.Ears() {
                         @Override
                         public boolean logs() {
@@ -130,7 +131,7 @@
                         }
                     });
             System.out.print(r.outcome().table());
-            System.out.printf(java.util.Locale.ROOT, "order in force p50 %.1f ms, p99 %.1f ms; %d txns, %d tries; %d bugs; "
+            System.out.printf(Locale.ROOT, "order in force p50 %.1f ms, p99 %.1f ms; %d txns, %d tries; %d bugs; "
                     + "%.0f txns a second of this machine (%.1f s), hash %016x%n", r.inForceP50(), r.inForceP99(), r.txns(),
                     r.tries(), r.bugs(), r.txns() / r.took() * 1000, r.took() / 1000, r.hash());
             if (report != null) {
@@ -154,7 +155,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
+            Script day = Script.read(script);
             StringBuilder table = new StringBuilder();
             new Load(day, java.util.Arrays.stream(to).map(t -> Build.address(t, "--to")).toList(), txns > 0 ? txns : day.txns())
                     .run(seconds * 1000, table);
@@ -173,11 +174,11 @@
             int faults = 0;
             for (Path file : files) {
                 try {
-                    if (java.nio.file.Files.readString(file).contains("station:")
-                            || !java.nio.file.Files.readString(file).contains("lasts:")) {
+                    String text = Files.readString(file);
+                    if (text.contains("station:") || !text.contains("lasts:")) {
                         Build.check(Records.read(file, Station.SCHEMA, Station.DEFINITION, Station.class));
                     } else {
-                        Records.read(file, Script.SCHEMA, Script.DEFINITION, Script.class).check();
+                        Script.read(file).check();
                     }
                     System.out.println(file + ": well");
                 } catch (Invalid | IllegalArgumentException e) {
--- a/src/main/java/sprucelanding/program/Replays.java
+++ b/src/main/java/sprucelanding/program/Replays.java
@@ -1,12 +1,12 @@
 package sprucelanding.program;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sprucelanding.capture.estimate.Fleet;
@@ -15,20 +15,19 @@
 import sprucelanding.emulator.Emulation;
 import sprucelanding.emulator.Policy;
 import sprucelanding.emulator.Replay;
-import sprucelanding.records.Records;
+import sprucelanding.lab.Paired;
 import sprucelanding.station.Station;
 
 /** From a captured day to what another setting would have made of it. */
 @Command(name = "replay", mixinStandardHelpOptions = true,
         description = "Plays a captured day again, as it was and with other settings (emulated).")
 final class Replays implements Callable<Integer> {
-    private static final double T95 = 2.6; // of so few runs
     @Parameters(paramLabel = "FOLDER", description = "with governor-N.cap, and truth.cap where stand-ins left one")
     private Path folder;
     @Option(names = "--fleet", required = true, description = "a day's script, for machines, products, clients and rules")
     private Path script;
-    @Option(names = "--with", description = "records laid over each governor's station")
-    private Path with;
+    @Mixin
+    private With with;
     @Option(names = "--policy", description = "whose tables in its place: ${COMPLETION-CANDIDATES}", defaultValue = "GOVERNORS")
     private Policy policy;
     @Option(names = "--runs", description = "with replicas as they may have been as well", defaultValue = "6")
@@ -40,7 +39,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Script day = Records.read(script, Script.SCHEMA, Script.DEFINITION, Script.class);
+        Script day = Script.read(script);
         Replay replay = Replay.read(folder, day);
         replay.faults().forEach(System.out::println);
         Fleet fleet = replay.fleet();
@@ -75,24 +74,19 @@
                 System.out.printf(Locale.ROOT, "  %3d s  %.3f  %.3f%n", 5 * i, replay.windows()[i], again.windows()[i]);
             }
         }
-        if (with == null && policy == Policy.GOVERNORS) {
+        if (!with.given() && policy == Policy.GOVERNORS) {
             return 0;
         }
-        List<Station> other = replay.stations(with == null ? null : with.toString(),
-                with == null ? null : Files.readString(with));
+        List<Station> other = replay.stations(with.name(), with.text());
         Emulation.Result changed = replay.play(other, policy, 0, Emulation.Ears.NONE);
         System.out.println("\nwith the other setting:");
         System.out.print(changed.outcome().table());
-        double[] differences = IntStream.range(0, runs).parallel().mapToDouble(run ->
+        Paired p = Paired.of(IntStream.range(0, runs).parallel().mapToObj(run ->
                 replay.play(other, policy, run, Emulation.Ears.NONE).service()
-                        - replay.play(then, Policy.GOVERNORS, run, Emulation.Ears.NONE).service()).toArray();
-        double mean = java.util.Arrays.stream(differences).average().orElse(0);
-        double variance = java.util.Arrays.stream(differences).map(d -> (d - mean) * (d - mean)).sum()
-                / Math.max(1, runs - 1);
-        double half = T95 * Math.sqrt(variance / runs);
+                        - replay.play(then, Policy.GOVERNORS, run, Emulation.Ears.NONE).service()).toList());
         System.out.printf(Locale.ROOT, "%nservice would have been %+.4f, 95%% between %+.4f and %+.4f over %d runs with replicas "
-                + "within the estimate's error: %s%n", mean, mean - half, mean + half, runs,
-                Math.abs(mean) <= half ? "no difference that is more than the uncertainty" : mean > 0 ? "better" : "worse");
+                + "within the estimate's error: %s%n", p.mean(), p.mean() - p.half(), p.mean() + p.half(), runs,
+                !p.sure() ? "no difference that is more than the uncertainty" : p.mean() > 0 ? "better" : "worse");
         return 0;
     }
 }
--- a/src/main/java/sprucelanding/standin/ClientStand.java
+++ b/src/main/java/sprucelanding/standin/ClientStand.java
@@ -12,6 +12,7 @@
 import sprucelanding.loop.Conn;
 import sprucelanding.loop.Http;
 import sprucelanding.loop.Loop;
+import sprucelanding.model.Repeats;
 import sprucelanding.rules.Seen;
 import sprucelanding.rules.Tape;
 
@@ -81,8 +82,8 @@
                 return;
             }
             declined = status == 503;
-            if (tries <= retries && (w.safe || unrun) && took + wait < w.expiry) {
-                loop.in(wait * (0.5 + chance.nextDouble()), this::send);
+            if (repeats.again(tries, w.safe, unrun, took, w.expiry)) {
+                loop.in(repeats.wait(chance.nextDouble()), this::send);
             } else {
                 end(declined ? Seen.Outcome.DECLINED : Seen.Outcome.VOIDED);
             }
@@ -131,8 +132,7 @@
     private final InetSocketAddress at;
     private final List<Ware> wares;
     private final DoubleSupplier rate;
-    private final int retries;
-    private final double wait;
+    private final Repeats repeats;
     private final double tryShare;
     private final AtomicLong ids;
     private final Tape tape;
@@ -143,18 +143,16 @@
     /**
      * @param proxy the number of the proxy whose clients these are
      * @param rate txns a second, asked anew for each
-     * @param wait ms before a client's own repeat
      * @param tryShare share of expiry after which a try is given up
      */
-    public ClientStand(Loop loop, int proxy, InetSocketAddress at, List<Ware> wares, DoubleSupplier rate, int retries, double wait,
+    public ClientStand(Loop loop, int proxy, InetSocketAddress at, List<Ware> wares, DoubleSupplier rate, Repeats repeats,
             double tryShare, AtomicLong ids, Tape tape, long seed) {
         this.loop = loop;
         this.proxy = proxy;
         this.at = at;
         this.wares = wares;
         this.rate = rate;
-        this.retries = retries;
-        this.wait = wait;
+        this.repeats = repeats;
         this.tryShare = tryShare;
         this.ids = ids;
         this.tape = tape;
--- a/src/main/java/sprucelanding/standin/LoadPeer.java
+++ b/src/main/java/sprucelanding/standin/LoadPeer.java
@@ -18,18 +18,10 @@
 import java.util.List;
 import java.util.Map;
 import sprucelanding.loop.Loop;
+import sprucelanding.model.Met;
 
 /** A proxy's load reports: what it met at each address since the last one, as often as it is asked to tell. */
 final class LoadPeer {
-    private static final class Met {
-        long issued;
-        long settled;
-        long voided;
-        double answers;
-        double loads;
-        long told;
-    }
-
     private final Loop loop;
     private final Node node;
     private final List<String> products;
@@ -56,17 +48,7 @@
 
     /** A try ended; util NaN if the answer told none. */
     void ended(InetSocketAddress at, boolean settled, double took, double util) {
-        Met m = met.computeIfAbsent(at, x -> new Met());
-        if (settled) {
-            m.settled++;
-            m.answers += took;
-        } else {
-            m.voided++;
-        }
-        if (util >= 0) {
-            m.loads += util;
-            m.told++;
-        }
+        met.computeIfAbsent(at, x -> new Met()).ended(settled, took, util);
     }
 
     void open(ManagedChannel channel) {
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -104,7 +105,7 @@
         }
 
         void next() {
-            Line<InetSocketAddress> line = tables.pick(products.get(product), Tables.Pick.valueOf(manner.pick.toUpperCase(java.util.Locale.ROOT)),
+            Line<InetSocketAddress> line = tables.pick(products.get(product), pick,
                     l -> l.at.equals(before) || shunned.holds(l.at, Loop.now()),
                     l -> open.getOrDefault(l.at, 0), chance);
             if (line == null || line.at.equals(before)) {
@@ -184,11 +185,7 @@
                 txn.reply(200, false);
                 return;
             }
-            Route r = tables.routes.get(products.get(txn.product));
-            Route.Retry retry = r == null ? Route.Retry.NEVER : r.retry();
-            boolean again = txn.tries < 2 && now + 10 < txn.until
-                    && (retry == Route.Retry.ANY || retry == Route.Retry.UNRUN && unrun);
-            if (again) {
+            if (Route.again(tables.routes.get(products.get(txn.product)), txn.tries, unrun, txn.until - now)) {
                 txn.before = at;
                 txn.next();
             } else {
@@ -208,6 +205,7 @@
     private final List<String> products;
     private final List<Door> doors;
     private final Manner manner;
+    private final Tables.Pick pick;
     private final InetSocketAddress from;
     private final Tape tape;
     private final SplittableRandom chance;
@@ -246,6 +244,7 @@
         this.products = products;
         this.doors = doors;
         this.manner = manner;
+        this.pick = Tables.Pick.valueOf(manner.pick.toUpperCase(Locale.ROOT));
         this.deltas = manner.deltas;
         this.from = from;
         this.tape = tape;
--- a/src/main/java/sprucelanding/station/Station.java
+++ b/src/main/java/sprucelanding/station/Station.java
@@ -1,6 +1,8 @@
 package sprucelanding.station;
 
 import java.util.List;
+import sprucelanding.records.Invalid;
+import sprucelanding.records.Records;
 
 /** What a governor is told at its start; station.cue says what each is, with its bounds. Times in ms. */
 public record Station(String name, long seed, List<String> zones, List<String> kinds, List<Ware> products,
@@ -41,6 +43,11 @@
     public record Peers(String at, List<String> others) {
     }
 
+    /** Reads a station's text with another laid over it, whose fields take the place of its own; null for none. */
+    public static Station parse(String name, String text, String overName, String over) throws Invalid {
+        return Records.parse(name, text, overName, over, SCHEMA, DEFINITION, Station.class);
+    }
+
     /** The record's file must meet this definition. */
     public static final String SCHEMA = "station.cue";
     public static final String DEFINITION = "#Station";
--- a/src/test/java/sprucelanding/emulator/ReplayTest.java
+++ b/src/test/java/sprucelanding/emulator/ReplayTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import sprucelanding.capture.Log;
 import sprucelanding.capture.Overheard;
-import sprucelanding.capture.What;
 import sprucelanding.capture.estimate.Spell;
 import sprucelanding.day.Script;
+import sprucelanding.day.Truth;
 import sprucelanding.records.Invalid;
 import sprucelanding.records.Records;
 import sprucelanding.rules.Seen;
@@ -52,12 +52,8 @@
 
             @Override
             public void saw(Seen each) {
-                if (known != null && each instanceof Seen.Came c) {
-                    known.put(c.at(), What.TXN, c.at(), c.product(), c.txn(), c.work(), c.proxy());
-                } else if (known != null && each instanceof Seen.Ended e) {
-                    known.put(e.at(), What.ENDED, e.at(), e.product(), e.txn(), e.outcome().ordinal(), e.took());
-                } else if (known != null && each instanceof Seen.Effect e) {
-                    known.put(e.at(), What.RAN, e.at(), e.replica(), e.product(), e.proxy(), e.attempt());
+                if (known != null) {
+                    Truth.put(each, known::put);
                 }
             }
         });
