Leases follow the proxies' streams: one session a governor, epochs that outlive set-back clocks

Cause: slots by a hash of the name would need plain proxies to be told where to dial, which xDS has no word for; renewals grew with the slots; a voter that restarted, or a wall clock set back, could let epochs go back.

Change: a governor claims the proxy that dials it; promises hang on one session of the governor at each voter, so a renewal is one packet whatever it owns. A voter that restarts learns in its quarantine who owns what; epochs begin above every life heard of. Below a majority a governor goes on with the streams it has and takes no more.

--- a/src/main/java/sprucelanding/fleet/Leases.java
+++ b/src/main/java/sprucelanding/fleet/Leases.java
@@ -1,37 +1,53 @@
 package sprucelanding.fleet;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 
 /**
- * Who owns which part of the proxies. Proxies fall into slots by their names; a slot has one owner at a time, for as long as a
- * majority of all governors granted, and each new owner has a higher epoch. Safety rests on two things only: a lease is counted
- * by its owner from before it asked, by a voter from after it was asked; and clocks run at the same pace but for drift. Call
- * clock, then what was heard, then decide until it says false; ask owns right before each write.
+ * Who owns which proxy. A proxy dials whom it likes, and that governor claims it under an epoch higher than any it has heard of;
+ * it owns the proxy once a majority of all governors has promised it, for as long as that majority hears from it. Promises hang on
+ * one session of the governor at each voter, so what is renewed does not grow with the proxies. Safety rests on two things: a
+ * session is counted by its owner from before it asked, by a voter from after it was asked; and clocks run at the same pace but for
+ * drift. Call clock, then what was heard, dialled and left, then decide until it says false; ask until right before each write.
  */
 public final class Leases {
-    /** A slot, and the epoch under which it is asked for or held. */
-    public record Claim(int slot, long epoch) {
+    /** A proxy, and the epoch under which it is asked for or held. */
+    public record Claim(long proxy, long epoch) {
     }
 
-    /** Asks for leases. Sent is when, on the asker's own clock; it comes back with the answer. */
-    public record Ask(int from, long life, double sent, List<Claim> claims) {
+    /** How much a governor has: its streams, how many it was made for, and its zone by position. */
+    public record Load(int streams, int room, int zone) {
     }
 
-    /** Which claims were granted, and of those refused the highest epochs known. */
-    public record Grant(int from, int to, long life, double sent, List<Claim> granted, List<Claim> refused) {
+    /**
+     * Renews the asker's session and asks for promises.
+     *
+     * @param number rises with each ask of a life, so that late ones are told
+     * @param sent when, on the asker's own clock; it comes back with the answer
+     */
+    public record Ask(int from, long life, long number, double sent, Load load, List<Claim> claims) {
+    }
+
+    /**
+     * The answer of a voter.
+     *
+     * @param session of the asker at this voter: a higher one than before means that what was promised before is forgotten
+     */
+    public record Grant(int from, long fromLife, long session, int to, long life, double sent, List<Claim> granted,
+            List<Claim> refused) {
     }
 
-    /** Slots given up, of which the last write has left; to: who should have them next, or -1. */
-    public record Release(int from, long life, List<Claim> claims, int to) {
+    /** Proxies given up, to which the last write has left. */
+    public record Release(int from, long life, List<Claim> claims) {
     }
 
+    /** What the host is told to do. Owned, then lapsed or kept in any order, ends with left or yields. */
     public interface Acts {
         void ask(Ask ask);
 
@@ -39,34 +55,63 @@
 
         void release(Release release);
 
-        /** From now on this governor owns the slot, under this epoch. */
-        void owned(int slot, long epoch);
+        /** From now on this governor owns the proxy, under this epoch. */
+        void owned(long proxy, long epoch);
+
+        /** Nothing may be written to it until it is owned or kept again. */
+        void lapsed(long proxy);
+
+        /** No majority is heard: it is served on as long as its stream holds. */
+        void kept(long proxy);
 
-        /** It does no longer. */
-        void lost(int slot, long epoch);
+        /** Another governor has it on a newer stream: this one is to be ended, and left told. */
+        void yields(long proxy, int to);
     }
 
-    private static final class Slot {
-        // As a voter.
-        int promised = -1;
-        long promisedLife;
-        long epoch;
+    private static final class Session {
+        long life;
+        long number;
+        long session;
         double until = Double.NEGATIVE_INFINITY;
-        int preferred = -1;
-        double preferredUntil;
-        // As an owner.
-        boolean mine;
-        boolean wanted;
-        long myEpoch;
-        double ownUntil = Double.NEGATIVE_INFINITY;
-        final Map<Integer, Double> grants = new HashMap<>();
-        double retryAt = Double.NEGATIVE_INFINITY;
-        long highest;
+        Load load = new Load(0, 0, -1);
+        double heardAt = Double.NEGATIVE_INFINITY;
+    }
+
+    private static final class Promise {
+        int holder;
+        long life;
+        long session;
+        long epoch;
     }
 
+    /** A voter as its promises are counted here. */
+    private static final class Voter {
+        long life;
+        long session;
+        double sent = Double.NEGATIVE_INFINITY;
+    }
+
+    private static final class Mine {
+        long epoch;
+        /** Voters that promised it, a bit each. */
+        int grants;
+        double dialledAt;
+        double askAt;
+        Stand stand = Stand.ASKED;
+        boolean yielding;
+    }
+
+    /** How a claim stands, as the host was told. */
+    private enum Stand { ASKED, OWNED, LAPSED, KEPT }
+
+    static final int MOST_CLAIMS = 60; // in one packet
+    private static final int PACKETS = 8; // of claims at a time
+    private static final int MOST_KNOWN = 65_536;
     private static final double RENEW = 3; // times within a lease
-    private static final double OVER = 1.25; // of its fair share, past which an owner gives slots away
-    private static final double PREFERENCE = 0.5; // of a lease, for which a released slot waits for whom it was meant
+    private static final double AGAIN = 6; // of a lease, until what was not granted is asked for again
+    private static final double JUDGED = 0.5; // of a lease without a majority, until one goes on without
+    private static final double NEW_STREAM = 0.2; // of a lease, in which a stream is not given up for another's claim
+    private static final double WOKE = 0.4; // of a lease between two looks: it stood still itself
 
     private final int self;
     private final long life;
@@ -74,175 +119,374 @@
     private final double lease;
     private final double drift;
     private final double quarantine;
-    private final int pace;
-    private final Slot[] slots;
-    private final List<Runnable> due = new ArrayList<>();
+    private final Session[] sessions;
+    private final Voter[] voters;
+    private final Map<Long, Promise> promises = new HashMap<>();
+    private final Map<Long, Mine> mine = new TreeMap<>();
+    /** What was given up, told again to whom it is refused. */
+    private final LinkedHashMap<Long, Long> given = new LinkedHashMap<>();
+    private final Map<Integer, Double> untils = new HashMap<>();
+    private final ArrayDeque<Runnable> due = new ArrayDeque<>();
+    private Load load = new Load(0, 1, -1);
     private Acts acts;
-    private Set<Integer> live = new TreeSet<>();
-    private boolean leaving;
     private double now;
     private final double began;
-    private double asksAt = Double.NEGATIVE_INFINITY;
+    private double renewAt = Double.NEGATIVE_INFINITY;
+    private double lookAt = Double.NEGATIVE_INFINITY;
+    private double askAt = Double.POSITIVE_INFINITY;
+    private double unheardSince;
+    private boolean keeps;
+    /** A majority, at any time. */
+    private boolean heard;
+    private long number;
+    /** The latest life heard of: epochs begin above it, so that they grow over restarts of all. */
+    private long base;
+    private long highest;
 
     /**
-     * @param life ms since 1970 at which this process began; epochs begin there, so that they grow over restarts of all
-     * @param governors how many there may be
-     * @param slots parts that the proxies fall into
+     * @param life of this process: ms since 1970 at which it began, and above what highest told in its earlier lives, or epochs go
+     *     back when a wall clock was
+     * @param governors how many there may be, 32 at most; their ids are 0 to governors - 1
      * @param lease ms
      * @param drift most that two clocks' paces differ, as a share
-     * @param quarantine ms after its start for which it grants nothing, for what it promised before is forgotten: a lease and
+     * @param quarantine ms after its start for which it promises nothing, for what it promised before is forgotten: a lease and
      *     its drift, or leases are not safe
-     * @param pace slots that are claimed or given away at a time, so that proxies do not all move at once
      */
-    public Leases(int self, long life, int governors, int slots, double lease, double drift, double quarantine, int pace,
-            double now) {
+    public Leases(int self, long life, int governors, double lease, double drift, double quarantine, double now) {
+        if (governors < 1 || governors > Peers.MOST || self < 0 || self >= governors) {
+            throw new IllegalArgumentException("governor " + self + " of " + governors);
+        }
         this.self = self;
         this.life = life;
         this.governors = governors;
         this.lease = lease;
         this.drift = drift;
         this.quarantine = quarantine;
-        this.pace = pace;
         this.now = now;
         this.began = now;
-        this.slots = new Slot[slots];
-        Arrays.setAll(this.slots, i -> new Slot());
+        this.unheardSince = now;
+        this.base = life;
+        this.highest = life;
+        this.sessions = new Session[governors];
+        this.voters = new Voter[governors];
+        Arrays.setAll(sessions, i -> new Session());
+        Arrays.setAll(voters, i -> new Voter());
     }
 
-    /** The slot that a proxy falls into, by its name. */
-    public static int slot(String proxy, int slots) {
-        return Math.floorMod(mix(proxy.hashCode()), slots);
-    }
-
-    private static int mix(int x) {
-        int h = x * 0x9E3779B1;
-        h ^= h >>> 15;
-        h *= 0x85EBCA77;
-        return h ^ h >>> 13;
+    /** A proxy's name as it goes among governors; two names alike here would be taken for one proxy. */
+    public static long key(String proxy) {
+        long h = 1_125_899_906_842_597L;
+        for (int i = 0; i < proxy.length(); i++) {
+            h = (h ^ proxy.charAt(i)) * 0x9E3779B97F4A7C15L;
+            h ^= h >>> 29;
+        }
+        h *= 0xBF58476D1CE4E5B9L;
+        return h ^ h >>> 32;
     }
 
     public void clock(double time) {
+        double gap = time - now;
         now = Math.max(now, time);
+        if (gap > WOKE * lease) { // what it has not heard while it stood still tells nothing
+            unheardSince = now;
+        }
     }
 
-    /** Who lives, itself among them, as Peers has it. */
-    public void live(Set<Integer> those) {
-        live = new TreeSet<>(those);
+    /** What is said of its own load with each ask. */
+    public void loaded(Load own) {
+        load = own;
     }
 
-    /** Planned: it gives away all it has, a few at a time, and claims no more. */
-    public void leaves() {
-        leaving = true;
+    // What proxies do.
+
+    /** The proxy dialled here; it is claimed unless it is owned already. */
+    public void dialled(long proxy) {
+        Mine m = mine.computeIfAbsent(proxy, x -> new Mine());
+        m.dialledAt = now;
+        m.yielding = false;
+        if (m.epoch == 0) {
+            claims(proxy, m);
+        }
     }
 
-    // What is heard.
+    private void claims(long proxy, Mine m) {
+        Promise known = promises.get(proxy);
+        m.epoch = Math.max(Math.max(base, m.epoch), known == null ? 0 : known.epoch) + 1;
+        highest = Math.max(highest, m.epoch);
+        m.grants = 0;
+        m.askAt = now;
+        askAt = now;
+    }
 
+    /** Its stream has ended, and nothing more is written on it. */
+    public void left(long proxy) {
+        Mine m = mine.remove(proxy);
+        if (m != null) {
+            given.remove(proxy);
+            given.put(proxy, m.epoch);
+            if (given.size() > MOST_KNOWN) {
+                given.remove(given.keySet().iterator().next());
+            }
+            releases(List.of(new Claim(proxy, m.epoch)));
+        }
+    }
+
+    private void releases(List<Claim> claims) {
+        Release r = new Release(self, life, claims);
+        released(r);
+        due.add(() -> acts.release(r));
+    }
+
+    // What governors say.
+
+    /** Another's ask. Late ones and those of an earlier life are left alone. */
     public void asked(Ask ask) {
-        if (now - began < quarantine) {
-            return; // what an earlier life promised may still hold
+        if (ask.from() < 0 || ask.from() >= governors) {
+            return;
+        }
+        Session s = sessions[ask.from()];
+        if (ask.life() < s.life || ask.life() == s.life && ask.number() <= s.number) {
+            return;
         }
+        if (ask.life() > s.life) {
+            s.session++;
+            if (s.life != 0 && ask.from() != self) { // it has forgotten; while it grants nothing yet it is told what is whose
+                forgets(ask.from(), ask.life(), -1);
+            }
+        }
+        s.life = ask.life();
+        base = Math.max(base, ask.life());
+        highest = Math.max(highest, base);
+        s.number = ask.number();
+        s.load = ask.load();
+        s.heardAt = now;
+        if (ask.from() != self) {
+            ask.claims().forEach(c -> wants(ask.from(), c));
+        }
+        if (now - began < quarantine) { // what an earlier life promised may still hold
+            ask.claims().forEach(c -> notes(ask.from(), ask.life(), c));
+            return;
+        }
+        if (s.until < now) {
+            s.session++; // what was promised to it may have been promised to others since
+        }
+        s.until = Math.max(s.until, now + lease * (1 + drift));
         List<Claim> granted = new ArrayList<>();
         List<Claim> refused = new ArrayList<>();
         for (Claim c : ask.claims()) {
-            if (c.slot() < 0 || c.slot() >= slots.length) {
-                continue;
+            if (promises(ask.from(), s, c)) {
+                granted.add(c);
+            } else {
+                Promise p = promises.get(c.proxy());
+                refused.add(new Claim(c.proxy(), Math.max(life, p == null ? 0 : p.epoch)));
             }
-            (votes(ask.from(), ask.life(), c) ? granted : refused).add(
-                    new Claim(c.slot(), Math.max(slots[c.slot()].epoch, c.epoch())));
         }
-        Grant answer = new Grant(self, ask.from(), ask.life(), ask.sent(), granted, refused);
+        Grant answer = new Grant(self, life, s.session, ask.from(), ask.life(), ask.sent(), granted, refused);
         if (ask.from() == self) {
-            due.add(() -> granted(answer)); // its own vote
+            granted(answer); // its own vote
         } else {
             due.add(() -> acts.grant(answer));
         }
     }
 
-    private boolean votes(int from, long fromLife, Claim c) {
-        Slot s = slots[c.slot()];
-        boolean same = s.promised == from && s.promisedLife == fromLife && s.epoch == c.epoch();
-        boolean free = s.until < now && c.epoch() > s.epoch && (s.preferred < 0 || s.preferred == from || s.preferredUntil < now);
-        if (!same && !free) {
+    /** Another has a stream of a proxy that may be on one here, or was. */
+    private void wants(int from, Claim c) {
+        Mine m = mine.get(c.proxy());
+        if (m == null) {
+            Long epoch = given.get(c.proxy());
+            if (epoch != null && epoch < c.epoch()) {
+                due.add(() -> acts.release(new Release(self, life, List.of(new Claim(c.proxy(), epoch))))); // the first was lost
+            }
+        } else if (!m.yielding && c.epoch() > m.epoch && now - m.dialledAt > NEW_STREAM * lease) {
+            m.yielding = true;
+            due.add(() -> acts.yields(c.proxy(), from));
+        }
+    }
+
+    private boolean held(Promise p) {
+        if (p == null || p.holder < 0) {
             return false;
         }
-        s.promised = from;
-        s.promisedLife = fromLife;
-        s.epoch = c.epoch();
-        s.until = Math.max(s.until, now + lease * (1 + drift));
-        s.preferred = -1;
+        Session s = sessions[p.holder];
+        return s.life == p.life && s.session == p.session && s.until >= now;
+    }
+
+    /** Before it promises anything it learns who owns what, so that owners need no new epochs for its restart. */
+    private void notes(int from, long itsLife, Claim c) {
+        Promise p = promises.get(c.proxy());
+        if ((p == null || c.epoch() > p.epoch) && (p != null || promises.size() < MOST_KNOWN)) {
+            p = promises.computeIfAbsent(c.proxy(), x -> new Promise());
+            p.holder = from;
+            p.life = itsLife;
+            p.session = -1;
+            p.epoch = c.epoch();
+            highest = Math.max(highest, c.epoch());
+        }
+    }
+
+    private boolean promises(int from, Session s, Claim c) {
+        Promise p = promises.get(c.proxy());
+        boolean his = p != null && p.holder == from && p.life == s.life;
+        // What an earlier life of its own knew of the proxy is forgotten; any epoch of then lies below this life.
+        boolean may = his ? c.epoch() >= p.epoch : !held(p) && c.epoch() > Math.max(life, p == null ? 0 : p.epoch);
+        if (!may || p == null && promises.size() >= MOST_KNOWN) {
+            return false;
+        }
+        highest = Math.max(highest, c.epoch());
+        if (p == null) {
+            p = new Promise();
+            promises.put(c.proxy(), p);
+        }
+        p.holder = from;
+        p.life = s.life;
+        p.session = s.session;
+        p.epoch = c.epoch();
         return true;
     }
 
+    private void forgets(int voter, long itsLife, long session) {
+        Voter v = voters[voter];
+        v.life = itsLife;
+        v.session = session;
+        v.sent = Double.NEGATIVE_INFINITY;
+        untils.clear();
+        mine.values().forEach(m -> {
+            m.grants &= ~(1 << voter);
+            m.askAt = Math.min(m.askAt, now);
+        });
+        askAt = now;
+    }
+
+    /** A voter's answer. Those to an earlier life, or that tell of an earlier one of the voter, are left alone. */
     public void granted(Grant g) {
-        if (g.to() != self || g.life() != life || g.sent() > now) {
-            return; // to an earlier life, or forged
+        if (g.from() < 0 || g.from() >= governors || g.to() != self || g.life() != life || g.sent() > now) {
+            return;
+        }
+        Voter v = voters[g.from()];
+        if (g.fromLife() < v.life || g.fromLife() == v.life && g.session() < v.session) {
+            return;
+        }
+        if (g.fromLife() != v.life || g.session() != v.session) { // it has forgotten what it promised
+            forgets(g.from(), g.fromLife(), g.session());
+        }
+        if (g.sent() > v.sent) {
+            v.sent = g.sent();
+            untils.clear();
         }
         for (Claim c : g.granted()) {
-            if (c.slot() >= 0 && c.slot() < slots.length) {
-                counts(g.from(), c, g.sent());
+            Mine m = mine.get(c.proxy());
+            if (m != null && m.epoch == c.epoch()) {
+                m.grants |= 1 << g.from();
             }
         }
         for (Claim c : g.refused()) {
-            if (c.slot() >= 0 && c.slot() < slots.length) {
-                slots[c.slot()].highest = Math.max(slots[c.slot()].highest, c.epoch());
+            Mine m = mine.get(c.proxy());
+            if (m == null || c.epoch() < m.epoch) {
+                continue;
             }
-        }
-    }
-
-    private void counts(int voter, Claim c, double sent) {
-        Slot s = slots[c.slot()];
-        if (!s.wanted || c.epoch() != s.myEpoch) {
-            return;
-        }
-        s.grants.merge(voter, sent, Math::max);
-        if (2 * s.grants.size() > governors) {
-            double[] all = s.grants.values().stream().mapToDouble(x -> x).sorted().toArray();
-            double since = all[all.length - (governors / 2 + 1)]; // as old as the oldest of the newest majority
-            s.ownUntil = since + lease;
-            if (!s.mine && now < s.ownUntil) {
-                s.mine = true;
-                due.add(() -> acts.owned(c.slot(), s.myEpoch));
+            if (m.stand == Stand.OWNED && c.epoch() == g.fromLife()) {
+                continue; // it knows nothing of the proxy, which is no later owner's word
+            }
+            if (m.stand != Stand.ASKED) { // another has owned it since: the stream here is an old one
+                m.yielding = true;
+                due.add(() -> acts.yields(c.proxy(), g.from()));
+            } else { // a later owner was heard of: asked for above its epoch
+                m.epoch = c.epoch() + 1;
+                m.grants = 0;
+                m.askAt = Math.min(m.askAt, now + lease / (2 * AGAIN));
+                askAt = Math.min(askAt, m.askAt);
             }
         }
+        lookAt = now;
     }
 
+    /** Proxies given up by another. */
     public void released(Release r) {
         for (Claim c : r.claims()) {
-            if (c.slot() < 0 || c.slot() >= slots.length) {
-                continue;
-            }
-            Slot s = slots[c.slot()];
-            s.highest = Math.max(s.highest, c.epoch());
-            if (s.promised == r.from() && s.promisedLife == r.life() && s.epoch == c.epoch()) {
-                s.until = Double.NEGATIVE_INFINITY;
-                s.preferred = r.to();
-                s.preferredUntil = now + PREFERENCE * lease;
-            }
-            if (r.to() == self && !s.wanted) { // a release that comes twice must not undo a claim under way
-                s.retryAt = Double.NEGATIVE_INFINITY;
-                asksAt = Double.NEGATIVE_INFINITY;
+            Promise p = promises.get(c.proxy());
+            if (p != null && p.holder == r.from() && p.life == r.life() && p.epoch <= c.epoch()) {
+                p.holder = -1;
+                Mine m = mine.get(c.proxy());
+                if (m != null && m.stand != Stand.OWNED) { // what it waited for is free
+                    m.askAt = now;
+                    askAt = now;
+                }
             }
         }
     }
 
     // What is asked and decided.
 
-    /** Whether a write may leave for proxies of this slot at this time on the own clock. */
-    public boolean owns(int slot, double time) {
-        Slot s = slots[slot];
-        return s.mine && time < s.ownUntil;
+    /** ms on the own clock until which a write to the proxy may leave; negative infinity: none may. */
+    public double until(long proxy) {
+        Mine m = mine.get(proxy);
+        return m == null ? Double.NEGATIVE_INFINITY : m.stand == Stand.KEPT ? Double.POSITIVE_INFINITY
+                : m.stand == Stand.OWNED ? until(m.grants) : Double.NEGATIVE_INFINITY;
+    }
+
+    private double until(int grants) {
+        if (2 * Integer.bitCount(grants) <= governors) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        return untils.computeIfAbsent(grants, g -> {
+            double[] sent = new double[Integer.bitCount(g)];
+            int n = 0;
+            for (int v = 0; v < governors; v++) {
+                if ((g >> v & 1) == 1) {
+                    sent[n++] = voters[v].sent;
+                }
+            }
+            Arrays.sort(sent);
+            return sent[n - (governors / 2 + 1)] + lease; // as old as the oldest of the newest majority
+        });
+    }
+
+    /** Whether it owns the proxy by a majority's promise that holds now. */
+    public boolean owns(long proxy) {
+        Mine m = mine.get(proxy);
+        return m != null && m.stand == Stand.OWNED && until(m.grants) > now;
+    }
+
+    /** The epoch under which it owns, or asks for, a proxy; 0 for none. */
+    public long epoch(long proxy) {
+        Mine m = mine.get(proxy);
+        return m == null ? 0 : m.epoch;
+    }
+
+    /** Whether a majority has answered within a lease. */
+    public boolean majority() {
+        int n = 0;
+        for (Voter v : voters) {
+            n += v.sent + lease > now ? 1 : 0;
+        }
+        return 2 * n > governors;
+    }
+
+    /** The highest epoch or life that it has heard of; a later life of its own must begin above it. */
+    public long highest() {
+        return highest;
+    }
+
+    /** It goes on with what it has, below a majority. */
+    public boolean keeps() {
+        return keeps;
     }
 
-    /** The epoch under which it owns, or owned, a slot. */
-    public long epoch(int slot) {
-        return slots[slot].myEpoch;
+    /** What a governor said of its load; null if it was not heard within a lease. */
+    public Load load(int governor) {
+        Session s = governor < governors ? sessions[governor] : null;
+        return s == null || s.heardAt + lease < now ? null : s.load;
+    }
+
+    /** Proxies it has claimed, and of them those it may write to. */
+    public int claimed() {
+        return mine.size();
     }
 
-    /** Slots that it owns now. */
     public int owned() {
         int n = 0;
-        for (int i = 0; i < slots.length; i++) {
-            n += owns(i, now) ? 1 : 0;
+        for (long proxy : mine.keySet()) {
+            n += until(proxy) > now ? 1 : 0;
         }
         return n;
     }
@@ -250,111 +494,76 @@
     /** One decision; false if there is none now. */
     public boolean decide(Acts to) {
         acts = to;
-        if (!due.isEmpty()) {
-            due.remove(0).run();
+        Runnable first = due.poll();
+        if (first != null) {
+            first.run();
             return true;
         }
-        for (int i = 0; i < slots.length; i++) {
-            Slot s = slots[i];
-            if (s.mine && now >= s.ownUntil) {
-                gone(s);
-                to.lost(i, s.myEpoch);
-                return true;
-            }
+        if (now >= renewAt || now >= askAt) {
+            asks(to);
+            return true;
         }
-        if (now < asksAt) {
+        if (now < lookAt) {
             return false;
         }
-        asksAt = now + lease / RENEW;
-        givesAway();
-        List<Claim> claims = claims();
-        if (!claims.isEmpty()) {
-            Ask ask = new Ask(self, life, now, claims);
-            asked(ask);
-            to.ask(ask);
+        lookAt = now + lease / (4 * RENEW);
+        judges();
+        for (Map.Entry<Long, Mine> each : mine.entrySet()) {
+            looks(each.getKey(), each.getValue());
         }
-        return true;
+        return !due.isEmpty();
     }
 
-    private static void gone(Slot s) {
-        s.mine = false;
-        s.wanted = false;
-        s.grants.clear();
-        s.ownUntil = Double.NEGATIVE_INFINITY;
-    }
-
-    private List<Claim> claims() {
-        List<Claim> claims = new ArrayList<>();
-        int fresh = 0;
-        for (int i = 0; i < slots.length; i++) {
-            Slot s = slots[i];
-            if (s.mine) {
-                claims.add(new Claim(i, s.myEpoch));
-                continue;
-            }
-            boolean may = !leaving && 2 * live.size() > governors && fresh < pace && s.until < now && s.retryAt <= now
-                    && (s.preferred < 0 || s.preferred == self || s.preferredUntil < now);
-            if (may && (favourite(i, live) == self || s.preferred == self)) {
-                fresh++;
-                s.wanted = true;
-                s.grants.clear();
-                s.myEpoch = Math.max(life, Math.max(s.epoch, Math.max(s.highest, s.myEpoch)) + 1);
-                s.retryAt = now + lease / RENEW * (1 + mix(i * 31 + self + (int) now) % 100 / 200.0 + 0.5);
-                claims.add(new Claim(i, s.myEpoch));
-            } else if (s.wanted && s.retryAt <= now) {
-                s.wanted = false;
-                s.grants.clear();
-            }
+    /** Whether it is to go on without a majority; that needs some time in which it ran and heard none. */
+    private void judges() {
+        if (majority()) {
+            unheardSince = now;
+            keeps = false;
+            heard = true;
+        } else if (heard && now - unheardSince > JUDGED * lease) {
+            keeps = true;
         }
-        return claims;
     }
 
-    /** What is beyond its share, or all if it leaves, goes to those for whom it is meant, a few at a time. */
-    private void givesAway() {
-        Set<Integer> others = new TreeSet<>(live);
-        if (leaving) {
-            others.remove(self);
-        }
-        if (others.isEmpty() || others.size() == 1 && others.contains(self)) {
+    private void looks(long proxy, Mine m) {
+        Stand next = until(m.grants) > now ? Stand.OWNED : m.stand == Stand.ASKED ? Stand.ASKED : keeps ? Stand.KEPT : Stand.LAPSED;
+        if (next == m.stand) {
             return;
         }
-        int most = leaving ? 0 : (int) Math.ceil(OVER * slots.length / Math.max(1, live.size()));
-        int mine = owned();
-        Map<Integer, List<Claim>> given = new TreeMap<>();
-        int moved = 0;
-        for (int i = 0; i < slots.length && mine > most && moved < pace; i++) {
-            int to = favourite(i, others);
-            if (owns(i, now) && to != self) {
-                Slot s = slots[i];
-                given.computeIfAbsent(to, x -> new ArrayList<>()).add(new Claim(i, s.myEpoch));
-                gone(s);
-                long epoch = s.myEpoch;
-                int slot = i;
-                due.add(() -> acts.lost(slot, epoch));
-                mine--;
-                moved++;
-            }
+        m.stand = next;
+        long epoch = m.epoch;
+        switch (next) {
+            case OWNED -> due.add(() -> acts.owned(proxy, epoch));
+            case KEPT -> due.add(() -> acts.kept(proxy));
+            default -> due.add(() -> acts.lapsed(proxy));
         }
-        given.forEach((to, claims) -> {
-            Release r = new Release(self, life, claims, to);
-            due.add(() -> {
-                released(r);
-                acts.release(r);
-            });
-        });
     }
 
-    /** The governor that a slot falls to among these: each slot has its own order of them, so that few move when one goes. */
-    static int favourite(int slot, Set<Integer> among) {
-        int best = -1;
-        int most = 0;
-        for (int id : among) {
-            int score = mix(slot * 0x61C88647 + mix(id + 1));
-            if (best < 0 || score > most) {
-                best = id;
-                most = score;
+    /** Renews the session at all voters, with the claims that want a promise. */
+    private void asks(Acts to) {
+        renewAt = now >= renewAt ? now + lease / RENEW : renewAt;
+        askAt = Double.POSITIVE_INFINITY;
+        List<Claim> claims = new ArrayList<>();
+        int all = governors == Peers.MOST ? -1 : (1 << governors) - 1;
+        for (Map.Entry<Long, Mine> each : mine.entrySet()) {
+            Mine m = each.getValue();
+            if (m.askAt <= now && m.grants != all && !m.yielding) {
+                if (claims.size() == MOST_CLAIMS * PACKETS) {
+                    askAt = now + lease / (RENEW * AGAIN);
+                    break;
+                }
+                m.askAt = now + lease / AGAIN * (until(m.grants) > now ? AGAIN : 1); // a missing vote is not urgent then
+                claims.add(new Claim(each.getKey(), m.epoch));
+            }
+            if (m.grants != all) {
+                askAt = Math.min(askAt, Math.max(m.askAt, now + 1));
             }
         }
-        return best;
+        for (int i = 0; i == 0 || i < claims.size(); i += MOST_CLAIMS) {
+            Ask ask = new Ask(self, life, ++number, now, load,
+                    List.copyOf(claims.subList(i, Math.min(claims.size(), i + MOST_CLAIMS))));
+            asked(ask);
+            to.ask(ask);
+        }
     }
 }
--- a/src/main/java/sprucelanding/fleet/Packets.java
+++ b/src/main/java/sprucelanding/fleet/Packets.java
@@ -25,13 +25,14 @@
     }
 
     public static final int LARGEST = 1400;
-    private static final byte VERSION = 1;
+    private static final byte VERSION = 2;
     private static final int SUM = 16;
     private static final String HOW = "HmacSHA256";
     private static final byte BEAT = 0;
     private static final byte ASK = 1;
     private static final byte GRANT = 2;
     private static final byte RELEASE = 3;
+    private static final byte SAID = 4;
 
     private final Mac mac;
 
@@ -48,7 +49,7 @@
         }
     }
 
-    /** A Beat, Ask, Grant or Release as a datagram; IllegalArgumentException if it does not fit into one. */
+    /** A Beat, Ask, Grant, Release or Said as a datagram; IllegalArgumentException if it does not fit into one. */
     public byte[] put(Object message) {
         ByteBuffer out = ByteBuffer.allocate(64 * 1024).put(VERSION);
         if (message instanceof Peers.Beat b) {
@@ -56,13 +57,21 @@
             b.view().forEach(k -> out.put((byte) k.id()).putLong(k.life()).putInt(k.incarnation()).putLong(k.number())
                     .put((byte) k.state().ordinal()));
         } else if (message instanceof Leases.Ask a) {
-            claims(out.put(ASK).put((byte) a.from()).putLong(a.life()).putDouble(a.sent()), a.claims());
+            out.put(ASK).put((byte) a.from()).putLong(a.life()).putLong(a.number()).putDouble(a.sent())
+                    .putInt(a.load().streams()).putInt(a.load().room()).put((byte) a.load().zone());
+            claims(out, a.claims());
         } else if (message instanceof Leases.Grant g) {
-            out.put(GRANT).put((byte) g.from()).put((byte) g.to()).putLong(g.life()).putDouble(g.sent());
+            out.put(GRANT).put((byte) g.from()).putLong(g.fromLife()).putLong(g.session()).put((byte) g.to()).putLong(g.life())
+                    .putDouble(g.sent());
             claims(out, g.granted());
             claims(out, g.refused());
         } else if (message instanceof Leases.Release r) {
-            claims(out.put(RELEASE).put((byte) r.from()).putLong(r.life()).put((byte) r.to()), r.claims());
+            claims(out.put(RELEASE).put((byte) r.from()).putLong(r.life()), r.claims());
+        } else if (message instanceof Recall.Said s) {
+            out.put(SAID).put((byte) s.from()).putLong(s.life()).putLong(s.number()).putDouble(s.span())
+                    .putShort((short) s.sums().size());
+            s.sums().forEach(x -> out.putLong(x.replica()).putShort((short) x.tries()).putShort((short) x.voided())
+                    .putFloat((float) x.answerTime()).putFloat((float) x.load()));
         } else {
             throw new IllegalArgumentException("no message: " + message);
         }
@@ -77,7 +86,7 @@
 
     private static void claims(ByteBuffer out, List<Leases.Claim> claims) {
         out.putShort((short) claims.size());
-        claims.forEach(c -> out.putShort((short) c.slot()).putLong(c.epoch()));
+        claims.forEach(c -> out.putLong(c.proxy()).putLong(c.epoch()));
     }
 
     /** What a datagram says. */
@@ -98,14 +107,12 @@
         try {
             Object message = switch (in.get()) {
                 case BEAT -> beat(in);
-                case ASK -> new Leases.Ask(in.get(), in.getLong(), in.getDouble(), claims(in));
-                case GRANT -> new Leases.Grant(in.get(), in.get(), in.getLong(), in.getDouble(), claims(in), claims(in));
-                case RELEASE -> {
-                    int from = in.get();
-                    long life = in.getLong();
-                    int to = in.get();
-                    yield new Leases.Release(from, life, claims(in), to);
-                }
+                case ASK -> new Leases.Ask(in.get(), in.getLong(), in.getLong(), in.getDouble(),
+                        new Leases.Load(in.getInt(), in.getInt(), in.get()), claims(in));
+                case GRANT -> new Leases.Grant(in.get(), in.getLong(), in.getLong(), in.get(), in.getLong(), in.getDouble(),
+                        claims(in), claims(in));
+                case RELEASE -> new Leases.Release(in.get(), in.getLong(), claims(in));
+                case SAID -> new Recall.Said(in.get(), in.getLong(), in.getLong(), in.getDouble(), sums(in));
                 default -> throw new Refused("an unknown kind");
             };
             if (in.hasRemaining()) {
@@ -128,11 +135,29 @@
     }
 
     private static List<Leases.Claim> claims(ByteBuffer in) {
-        int n = in.getShort();
+        int n = counted(in);
         List<Leases.Claim> claims = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            claims.add(new Leases.Claim(in.getShort(), in.getLong()));
+            claims.add(new Leases.Claim(in.getLong(), in.getLong()));
         }
         return claims;
     }
+
+    private static List<Recall.Sum> sums(ByteBuffer in) {
+        int n = counted(in);
+        List<Recall.Sum> sums = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            sums.add(new Recall.Sum(in.getLong(), in.getShort() & 0xFFFF, in.getShort() & 0xFFFF, in.getFloat(), in.getFloat()));
+        }
+        return sums;
+    }
+
+    /** A count that the rest can hold; one below 0 or far too many is an end that came too early. */
+    private static int counted(ByteBuffer in) {
+        int n = in.getShort();
+        if (n < 0 || n > LARGEST) {
+            throw new BufferUnderflowException();
+        }
+        return n;
+    }
 }
--- a/src/main/java/sprucelanding/fleet/Peers.java
+++ b/src/main/java/sprucelanding/fleet/Peers.java
@@ -30,7 +30,7 @@
     }
 
     private static final double WOKE = 4; // beats missed of its own, past which it stood still itself
-    private static final int MOST = 32;
+    static final int MOST = 32;
 
     private static final class Member {
         final int id;
--- a/src/test/java/sprucelanding/fleet/FakeFleet.java
+++ b/src/test/java/sprucelanding/fleet/FakeFleet.java
@@ -1,38 +1,135 @@
 package sprucelanding.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
-/** Governors on a network that loses, delays and doubles; each has a clock of its own pace, and can die, stop or be cut off. */
+/**
+ * Governors and plain proxies on a network that loses, delays and doubles what governors tell each other. Each governor has a
+ * clock of its own pace, and can die, stop or be cut off; a proxy has one stream, and dials the next when that breaks or is
+ * silent. Every governor writes to every proxy whenever it may: what proxies read is checked.
+ */
 final class FakeFleet {
     static final double STEP = 10;
     static final double LEASE = 1500;
     static final double DRIFT = 0.02;
-    static final int SLOTS = 12;
 
-    private record Due(double at, long order, int from, int to, Consumer<Node> what) implements Comparable<Due> {
+    private record Due(double at, long order, Runnable what) implements Comparable<Due> {
         @Override
         public int compareTo(Due other) {
             return at != other.at ? Double.compare(at, other.at) : Long.compare(order, other.order);
         }
     }
 
-    final class Node implements Peers.Acts, Leases.Acts {
+    /** A proxy's stream to a governor's life. */
+    final class Stream {
+        final Proxy proxy;
+        final Node node;
+        final long life;
+        boolean open = true;
+        boolean told;
+
+        Stream(Proxy proxy, Node node) {
+            this.proxy = proxy;
+            this.node = node;
+            this.life = node.life;
+        }
+    }
+
+    /** It keeps one stream, and reads what comes on that. */
+    final class Proxy {
+        final long key;
+        final int number;
+        Stream stream;
+        int door;
+        double silentSince;
+        double unownedSince;
+        long epoch;
+        double worst;
+
+        Proxy(int number) {
+            this.number = number;
+            this.key = Leases.key("proxy-" + number);
+            this.door = number;
+        }
+
+        void dials() {
+            Node to = nodes.get(door % nodes.size());
+            if (!to.up || cutProxies.contains(to.id)) {
+                breaks();
+                return;
+            }
+            Stream s = new Stream(this, to);
+            stream = s;
+            silentSince = now;
+            in(2, () -> to.hand(s.life, () -> {
+                to.streams.put(key, s);
+                to.sharing.dialled(key, 0);
+            }));
+        }
+
+        /** It leaves the stream, if it has one, and dials the next governor a little later. */
+        void breaks() {
+            Stream old = stream;
+            stream = null;
+            door++;
+            if (old != null && !cutProxies.contains(old.node.id)) { // across a cut the governor does not hear of it
+                in(2, () -> old.node.hand(old.life, () -> old.node.left(old)));
+            }
+            in(50 + chance.nextDouble() * 200, () -> {
+                if (stream == null) {
+                    dials();
+                }
+            });
+        }
+
+        void reads(Stream s, long under) {
+            if (s != stream || cutProxies.contains(s.node.id)) {
+                return; // of a stream that it has left
+            }
+            silentSince = now;
+            if (unownedSince > 0) {
+                worst = Math.max(worst, now - unownedSince);
+            }
+            unownedSince = now;
+            Integer before = voices.putIfAbsent(key + "/" + under, s.node.id);
+            if (under < epoch || before != null && before != s.node.id) {
+                faults.add("at " + now + " proxy " + number + " heard " + s.node.id + " under " + under + " after " + epoch
+                        + " of " + before);
+            }
+            epoch = under;
+        }
+
+        void looks() {
+            if (stream != null && now - silentSince > keepalive) {
+                breaks();
+            }
+        }
+    }
+
+    final class Node implements Sharing.Acts {
         final int id;
         final double offset;
         final double pace;
+        final Map<Long, Stream> streams = new HashMap<>();
+        final Set<Long> may = new TreeSet<>();
+        final List<Recall.Sum> hints = new ArrayList<>();
         long life;
+        /** What its file holds. */
+        long kept;
         Peers peers;
         Leases leases;
+        Sharing sharing;
         boolean up;
         double pausedUntil;
-        final List<Consumer<Node>> inbox = new ArrayList<>();
+        private final List<Runnable> inbox = new ArrayList<>();
 
         Node(int id) {
             this.id = id;
@@ -51,108 +148,147 @@
         void starts() {
             if (!up) {
                 up = true;
-                life = (long) (1_700_000_000_000L + now + wallJump);
+                life = Math.max((long) (1_700_000_000_000L + now + wallJump), kept + 1);
                 inbox.clear();
+                streams.clear();
+                may.clear();
                 Set<Integer> all = new TreeSet<>();
                 nodes.forEach(n -> all.add(n.id));
                 peers = new Peers(id, life, all, 100, 500, 500);
-                leases = new Leases(id, life, nodes.size(), SLOTS, LEASE, DRIFT, quarantine, 4, clock());
+                leases = new Leases(id, life, nodes.size(), LEASE, DRIFT, quarantine, clock());
+                sharing = new Sharing(id, peers, leases, new Share(id, leases, room, 0, clock()),
+                        new Recall(id, life, 1000, 300, false, clock()));
             }
         }
 
-        void works() {
-            peers.clock(clock());
-            leases.clock(clock());
-            inbox.forEach(m -> m.accept(this));
-            inbox.clear();
-            while (peers.decide(this)) {
-                continue;
-            }
-            leases.live(peers.live());
-            while (leases.decide(this)) {
-                continue;
+        /** What comes to this life of it; while it stands still it waits. */
+        void hand(long to, Runnable what) {
+            if (up && life == to) {
+                inbox.add(what);
             }
         }
 
-        private void toAll(Consumer<Node> what) {
-            nodes.stream().filter(n -> n != this).forEach(n -> send(id, n.id, what));
+        void left(Stream s) {
+            if (streams.remove(s.proxy.key, s)) {
+                may.remove(s.proxy.key);
+                sharing.left(s.proxy.key);
+            }
         }
 
-        @Override
-        public void beat(Peers.Beat beat) {
-            beats++;
-            toAll(n -> n.peers.heard(beat));
+        void works() {
+            kept = leases.highest();
+            sharing.clock(clock());
+            inbox.forEach(Runnable::run);
+            inbox.clear();
+            while (sharing.decide(this)) {
+                continue;
+            }
+            for (Map.Entry<Long, Stream> each : streams.entrySet()) {
+                if (may.contains(each.getKey()) && sharing.until(each.getKey()) > clock()) {
+                    Stream s = each.getValue();
+                    long epoch = leases.epoch(each.getKey());
+                    in(1 + chance.nextDouble() * 3, () -> s.proxy.reads(s, epoch));
+                }
+            }
         }
 
         @Override
-        public void changed(int other, Peers.State state) {
-            story.add(Math.round(now) + " " + id + " holds " + other + " for " + state);
+        public void tell(int to, Object message) {
+            told++;
+            nodes.stream().filter(n -> n != this && (to < 0 || to == n.id)).forEach(n -> {
+                if (cut.contains(id * 64 + n.id) || chance.nextDouble() < loss) {
+                    return;
+                }
+                for (int copies = chance.nextDouble() < 0.05 ? 2 : 1; copies > 0; copies--) {
+                    in(1 + chance.nextDouble() * 40, () -> n.hand(n.life, () -> n.sharing.heard(message)));
+                }
+            });
         }
 
         @Override
-        public void ask(Leases.Ask ask) {
-            toAll(n -> n.leases.asked(ask));
+        public void may(long proxy, long epoch) {
+            may.add(proxy);
+            story.add(Math.round(now) + " " + id + " may write to " + name(proxy) + " under " + epoch);
         }
 
         @Override
-        public void grant(Leases.Grant grant) {
-            send(id, grant.to(), n -> n.leases.granted(grant));
+        public void waits(long proxy) {
+            may.remove(proxy);
+            story.add(Math.round(now) + " " + id + " waits for " + name(proxy));
         }
 
         @Override
-        public void release(Leases.Release release) {
-            toAll(n -> n.leases.released(release));
+        public void end(long proxy, boolean busy, String why) {
+            Stream s = streams.get(proxy);
+            story.add(Math.round(now) + " " + id + " ends " + name(proxy) + ": " + why);
+            if (s != null) {
+                in(2, () -> {
+                    if (s.proxy.stream == s && !cutProxies.contains(id)) {
+                        s.proxy.breaks();
+                    }
+                });
+                left(s);
+            }
         }
 
         @Override
-        public void owned(int slot, long epoch) {
-            story.add(Math.round(now) + " " + id + " owns " + slot + " under " + epoch);
-            if (epoch <= lastEpoch[slot]) {
-                faults.add("at " + now + " epoch " + epoch + " of slot " + slot + " after " + lastEpoch[slot]);
-            }
-            lastEpoch[slot] = epoch;
+        public void hint(Recall.Sum sum) {
+            hints.add(sum);
         }
 
         @Override
-        public void lost(int slot, long epoch) {
-            story.add(Math.round(now) + " " + id + " lost " + slot);
+        public void note(String text, Object... figures) {
+            story.add(Math.round(now) + " " + id + " " + text + " " + List.of(figures));
         }
     }
 
     final SplittableRandom chance;
     final List<Node> nodes = new ArrayList<>();
+    final List<Proxy> proxies = new ArrayList<>();
     final List<String> story = new ArrayList<>();
     final List<String> faults = new ArrayList<>();
     final Set<Integer> cut = new HashSet<>();
+    final Set<Integer> cutProxies = new HashSet<>();
+    private final Map<String, Integer> voices = new HashMap<>();
     private final PriorityQueue<Due> wires = new PriorityQueue<>();
-    private final long[] lastEpoch = new long[SLOTS];
     private final double quarantine;
+    private final int room;
+    double keepalive = 1200;
     double loss;
     double wallJump;
     double now = 1000;
-    long beats;
+    long told;
     private long order;
 
-    FakeFleet(int count, long seed, double quarantine) {
+    FakeFleet(int governors, int proxies, long seed, double quarantine) {
+        this(governors, proxies, seed, quarantine, 64);
+    }
+
+    /** @param room proxies that each governor says it was made for */
+    FakeFleet(int governors, int proxies, long seed, double quarantine, int room) {
+        this.room = room;
         this.chance = new SplittableRandom(seed);
         this.quarantine = quarantine;
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < governors; i++) {
             nodes.add(new Node(i));
         }
         nodes.forEach(Node::starts);
+        for (int i = 0; i < proxies; i++) {
+            Proxy p = new Proxy(i);
+            this.proxies.add(p);
+            in(chance.nextDouble() * 100, p::dials);
+        }
     }
 
-    private void send(int from, int to, Consumer<Node> what) {
-        if (cut.contains(from * 64 + to) || chance.nextDouble() < loss) {
-            return;
-        }
-        int copies = chance.nextDouble() < 0.05 ? 2 : 1;
-        for (int i = 0; i < copies; i++) {
-            wires.add(new Due(now + 1 + chance.nextDouble() * 40, order++, from, to, what));
-        }
+    private String name(long key) {
+        return proxies.stream().filter(p -> p.key == key).map(p -> "proxy " + p.number).findFirst().orElse("?");
+    }
+
+    private void in(double ms, Runnable what) {
+        wires.add(new Due(now + ms, order++, what));
     }
 
-    /** Nothing gets from one to the other; the way back stays as it is. */
+    /** Nothing gets from one governor to the other; the way back stays as it is. */
     void cut(int from, int to, boolean on) {
         if (on) {
             cut.add(from * 64 + to);
@@ -161,39 +297,55 @@
         }
     }
 
+    void isolates(int id, boolean on) {
+        nodes.forEach(n -> {
+            cut(id, n.id, on && n.id != id);
+            cut(n.id, id, on && n.id != id);
+        });
+    }
+
+    /** Its proxies and it do not hear each other, whatever governors do. */
+    void cutProxies(int id, boolean on) {
+        if (on) {
+            cutProxies.add(id);
+        } else {
+            cutProxies.remove(id);
+        }
+    }
+
     void runs(double ms) {
         for (double end = now + ms; now < end; now += STEP) {
             while (!wires.isEmpty() && wires.peek().at <= now) {
-                Due d = wires.poll();
-                Node to = nodes.get(d.to);
-                if (to.up) {
-                    to.inbox.add(d.what);
-                }
+                wires.poll().what.run();
             }
             nodes.stream().filter(Node::runs).forEach(Node::works);
-            for (int s = 0; s < SLOTS; s++) {
-                if (owners(s).size() > 1) {
-                    faults.add("at " + now + " slot " + s + " has the owners " + owners(s));
+            proxies.forEach(Proxy::looks);
+            for (Proxy p : proxies) {
+                List<Integer> owners = owners(p);
+                if (owners.size() > 1) {
+                    faults.add("at " + now + " proxy " + p.number + " has the owners " + owners);
                 }
             }
         }
     }
 
-    /** Those that would write for a slot right now. */
-    List<Integer> owners(int slot) {
-        return nodes.stream().filter(n -> n.runs() && n.leases.owns(slot, n.clock())).map(n -> n.id).toList();
+    /** Those that have a majority's promise for it right now, by their own word. */
+    List<Integer> owners(Proxy p) {
+        return nodes.stream().filter(n -> n.runs() && n.leases.owns(p.key) && n.leases.until(p.key) > n.clock()).map(n -> n.id)
+                .toList();
     }
 
     int unowned() {
-        int n = 0;
-        for (int s = 0; s < SLOTS; s++) {
-            n += owners(s).isEmpty() ? 1 : 0;
-        }
-        return n;
+        return (int) proxies.stream().filter(p -> p.stream == null || !owners(p).contains(p.stream.node.id)).count();
+    }
+
+    int has(int id) {
+        return (int) proxies.stream().filter(p -> owners(p).contains(id)).count();
     }
 
     void heals() {
         cut.clear();
+        cutProxies.clear();
         loss = 0;
         nodes.forEach(n -> {
             n.pausedUntil = 0;
@@ -202,10 +354,26 @@
     }
 
     void dies(int id) {
-        nodes.get(id).up = false;
+        Node n = nodes.get(id);
+        n.up = false;
+        proxies.stream().filter(p -> p.stream != null && p.stream.node == n).forEach(p -> in(2, () -> {
+            if (p.stream != null && p.stream.node == n && p.stream.life == n.life) {
+                p.breaks();
+            }
+        }));
     }
 
     void pauses(int id, double ms) {
         nodes.get(id).pausedUntil = now + ms;
     }
+
+    /** The longest that any proxy had nobody who might write to it, since this was last asked. */
+    double worstGap() {
+        double worst = 0;
+        for (Proxy p : proxies) {
+            worst = Math.max(worst, p.worst);
+            p.worst = 0;
+        }
+        return worst;
+    }
 }
