--- a/src/main/java/sprucelanding/core/Round.java
+++ b/src/main/java/sprucelanding/core/Round.java
@@ -56,6 +56,10 @@
 
         void listed(Entry entry);
 
+        /** What own proxies met at a replica within a period, as Choice was told. */
+        default void met(long replica, int tries, int voided, double answerTime, double load) {
+        }
+
         /** One line, with its figures as key and value in turn. */
         void log(String text, Object... figures);
 
@@ -218,6 +222,12 @@
         choice.probed(replica, answer, load);
     }
 
+    /** What another governor's proxies met at a replica: taken as if own ones had. */
+    public void hinted(long replica, int tries, int voided, double answerTime, double load) {
+        choice.clock(host.now());
+        choice.met(replica, tries, voided, answerTime, load);
+    }
+
     // Proxies.
 
     public void dialled(Object way, Holder holder, String name, String zone, double usual, boolean bare) {
@@ -470,6 +480,7 @@
         @Override
         public void met(long replica, int tries, int voided, double answerTime, double load) {
             choice.met(replica, tries, voided, answerTime, load);
+            host.met(replica, tries, voided, answerTime, load);
         }
 
         @Override
--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -17,8 +17,11 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.sshd.common.config.keys.PublicKeyEntry;
 import org.apache.sshd.common.config.keys.writer.openssh.OpenSSHKeyPairResourceWriter;
@@ -32,6 +35,7 @@
 import sprucelanding.standin.ClientStand;
 import sprucelanding.standin.DeviceStand;
 import sprucelanding.standin.Links;
+import sprucelanding.standin.PeerRelay;
 import sprucelanding.standin.Ports;
 import sprucelanding.standin.ProxyStand;
 import sprucelanding.standin.Relay;
@@ -45,6 +49,7 @@
 
     private static final int TAPE = 20_000_000;
     private static final int TRUTH_BLOCKS = 100_000;
+    private static final double START_AGAIN = 6000;
     private static final double LEAD = 3000; // ms from the fleet's start to the first txn
 
     /** What came of it. */
@@ -80,6 +85,11 @@
     private final List<KeyPair> hostKeys = new ArrayList<>();
     private KeyPair ownKey;
     private final SplittableRandom chance;
+    private final List<PeerRelay> peerRelays = new ArrayList<>();
+    /** Governors that their proxies do not reach. */
+    private final Set<Integer> lost = ConcurrentHashMap.newKeySet();
+    /** By governor, how many troubles cut it off from its peers. */
+    private final List<AtomicInteger> cutOff = new ArrayList<>();
     private RosterStand roster;
     private double rateNow = 1;
 
@@ -104,7 +114,7 @@
             raise();
             double begin = Loop.now() + LEAD;
             Troubles troubles = new Troubles(script, new Stands(), chance);
-            for (Script.Trouble t : script.troubles()) {
+            for (Script.Trouble t : script.allTroubles()) {
                 if (t.at() < lasts) {
                     rosterLoop.hand(() -> rosterLoop.at(begin + t.at(), () -> {
                         System.err.println(t.line());
@@ -120,6 +130,10 @@
             Thread.sleep((long) longest + 200);
             double cpu = governors.stream().mapToDouble(GovernorProcess::cpu).sum();
             double memory = governors.stream().mapToDouble(GovernorProcess::memory).max().orElse(0);
+            for (GovernorProcess g : governors) {
+                g.signal("CONT");
+                g.signal("TERM");
+            }
             for (GovernorProcess g : governors) {
                 g.stop();
             }
@@ -165,7 +179,9 @@
         List<Integer> peerPorts = new ArrayList<>();
         for (int g = 0; g < count; g++) {
             peerPorts.add(Ports.free());
+            cutOff.add(new AtomicInteger());
         }
+        secret();
         for (int g = 0; g < count; g++) {
             int zone = g % zones.size();
             InetAddress from = links.from(2, zone, g).getAddress();
@@ -178,19 +194,22 @@
                             + "keep: \"%s\"", rosterPort, from.getHostAddress(), folder.resolve("list-" + g + ".json")),
                             more(g, calls, peerPorts)), with);
             governors.add(p);
+            if (script.governors().shared()) {
+                Files.deleteIfExists(folder.resolve("epoch-" + g));
+            }
             p.start();
             List<Relay> byZone = new ArrayList<>();
             for (int z = 0; z < zones.size(); z++) {
                 int near = z;
                 byZone.add(called(relayLoop, () -> new Relay(relayLoop, new InetSocketAddress("127.0.0.1", p.port),
-                        () -> links.open(near, p.zone))));
+                        () -> links.open(near, p.zone) && !lost.contains(p.number))));
             }
             relays.add(byZone);
             List<Relay> callsByZone = new ArrayList<>();
             for (int z = 0; z < zones.size(); z++) {
                 int near = z;
                 callsByZone.add(called(relayLoop, () -> new Relay(relayLoop, new InetSocketAddress("127.0.0.1", calls),
-                        () -> links.open(near, p.zone))));
+                        () -> links.open(near, p.zone) && !lost.contains(p.number))));
             }
             callRelays.add(callsByZone);
         }
@@ -278,11 +297,36 @@
         if (captures) {
             text.append("capture: file: \"").append(folder.resolve("governor-" + g + ".cap")).append("\"\n");
         }
-        text.append("peers: {at: \"127.0.0.1:").append(peers.get(g)).append("\", others: [");
-        for (int other = 0; other < peers.size(); other++) {
-            text.append(other == g ? "" : "\"127.0.0.1:" + peers.get(other) + "\", ");
+        int zones = script.zones().size();
+        return text.append(script.peers(g, other -> "127.0.0.1:" + way(g, other, peers.get(other), zones),
+                !script.governors().shared() ? "" : String.format(Locale.ROOT,
+                        ", at: \"127.0.0.1:%d\", key: \"%s\", keep: \"%s\"", peers.get(g), folder.resolve("governors-secret"),
+                        folder.resolve("epoch-" + g)))).toString();
+    }
+
+    /** The port of a relay that brings one governor's packets to another. */
+    private int way(int from, int to, int port, int zones) {
+        try {
+            PeerRelay relay = called(relayLoop, () -> new PeerRelay(relayLoop, new InetSocketAddress("127.0.0.1", port),
+                    () -> links.open(from % zones, to % zones) && cutOff.get(from).get() + cutOff.get(to).get() == 0,
+                    script.seed() * 6000 + from * 64 + to));
+            peerRelays.add(relay);
+            return relay.port();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** What governors sign their packets with. */
+    private void secret() throws IOException {
+        if (script.governors().shared()) {
+            Path file = folder.resolve("governors-secret");
+            Files.deleteIfExists(file);
+            Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            byte[] key = new byte[32];
+            new Random(chance.nextLong()).nextBytes(key);
+            Files.writeString(file, java.util.HexFormat.of().formatHex(key) + "\n");
         }
-        return text.append("]}\n").toString();
     }
 
     private interface Step {
@@ -483,7 +527,15 @@
 
         @Override
         public void governorStarts(int governor) {
-            governors.get(governor).start();
+            if (governors.get(governor).alive()) { // it was told to stop while it stood still, say
+                rosterLoop.in(START_AGAIN, () -> {
+                    if (!governors.get(governor).alive()) {
+                        governors.get(governor).start();
+                    }
+                });
+            } else {
+                governors.get(governor).start();
+            }
         }
 
         @Override
@@ -491,6 +543,37 @@
             governors.get(governor).signal(on ? "STOP" : "CONT");
         }
 
+        @Override
+        public void governorStops(int governor) {
+            governors.get(governor).signal("TERM");
+        }
+
+        @Override
+        public void governorCut(int governor, boolean on) {
+            if (on) {
+                lost.add(governor);
+            } else {
+                lost.remove(governor);
+            }
+            relays.get(governor).forEach(r -> relayLoop.hand(r::look));
+            callRelays.get(governor).forEach(r -> relayLoop.hand(r::look));
+        }
+
+        @Override
+        public void peersCut(int governor, boolean on) {
+            cutOff.get(governor).addAndGet(on ? 1 : -1);
+        }
+
+        @Override
+        public void peersLose(double share) {
+            relayLoop.hand(() -> peerRelays.forEach(r -> r.loses(share)));
+        }
+
+        @Override
+        public void struck(int governor, String what) {
+            tape.saw(new Seen.Struck(Loop.now(), governor, what));
+        }
+
         @Override
         public void lockHeld(int device, double ms) {
             device(device, d -> d.locked(ms));
--- a/src/main/java/sprucelanding/day/Figures.java
+++ b/src/main/java/sprucelanding/day/Figures.java
@@ -26,6 +26,7 @@
     private double earned;
     private double asked;
     private long tries;
+    private final Gaps gaps = new Gaps();
 
     public Figures(Script script) {
         this.script = script;
@@ -42,6 +43,7 @@
     /** The next thing seen, in the order of time. */
     public void see(Seen each) {
         begin = Double.isNaN(begin) ? each.at() : begin;
+        gaps.see(each);
         if (each instanceof Seen.Ended e) {
             ends[e.product()][e.outcome().ordinal()]++;
             took[e.product()] += e.outcome().ordinal() <= 1 ? e.took() : 0;
@@ -108,6 +110,11 @@
         ObjectNode orders = root.putObject("fronts");
         fronts.forEach((front, f) -> orders.putObject(front).put("messages", f[0]).put("lines", f[1])
                 .put("acknowledged", f[2]).put("refused", f[3]));
+        ObjectNode without = root.putObject("withoutGovernor");
+        gaps.all().forEach((what, g) -> {
+            line(text, "without a governor after %s: %.0f proxies, p50 %.0f ms, p99 %.0f, most %.0f", what, g[0], g[1], g[2], g[3]);
+            without.putObject(what).put("proxies", (long) g[0]).put("p50", g[1]).put("p99", g[2]).put("most", g[3]);
+        });
         line(text, "governors' CPU %.0f ms a second in all, the largest took %.0f MiB", cpu / lasts * 1000, memory);
         ArrayNode own = root.putArray("governors");
         for (GovernorProcess g : governors) { // its own word, for its speed only: no verdict rests on it
--- a/src/main/java/sprucelanding/day/Fleet.java
+++ b/src/main/java/sprucelanding/day/Fleet.java
@@ -76,6 +76,21 @@
 
     void governorPauses(int governor, boolean on);
 
+    /** Planned: it sends its proxies on and stops. */
+    void governorStops(int governor);
+
+    /** Its proxies and it do not hear each other; other governors hear it. */
+    void governorCut(int governor, boolean on);
+
+    /** Other governors and it do not hear each other; its proxies do. */
+    void peersCut(int governor, boolean on);
+
+    /** Governors lose this share of what they tell each other. */
+    void peersLose(double share);
+
+    /** Something befalls a governor, for the record. */
+    void struck(int governor, String what);
+
     /** By position among the devices. */
     void lockHeld(int device, double ms);
 
--- a/src/main/java/sprucelanding/day/Measure.java
+++ b/src/main/java/sprucelanding/day/Measure.java
@@ -39,7 +39,7 @@
                 List.of(new Script.Ware("read", 0.75, work, 2500, 5000, 1, "safe", List.of()),
                         new Script.Ware("sign", 0.25, work, 2500, 5000, 2, "once", List.of())),
                 new Script.Replicas(replicas, 0.25, 12_000, 600), new Script.Proxies(proxies, 6, devices, 0, "two", 5, 4000),
-                new Script.Governors(1, 30_000, 6, 60_000, 0, 10_000), TXNS, new Script.Clients(2, 100, 0.8),
+                new Script.Governors(1, 30_000, 6, 60_000, 0, 10_000, false, 1500, 64, false), null, TXNS, new Script.Clients(2, 100, 0.8),
                 new Script.Roster(2000, 500), new Script.Rules(4000, 6000, 3, 2000), troubles);
         return new Day(script, lasts, Day.Tables.governors, null, null, false).play().table();
     }
--- a/src/main/java/sprucelanding/day/Script.java
+++ b/src/main/java/sprucelanding/day/Script.java
@@ -2,9 +2,13 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.IntFunction;
 import sprucelanding.model.Repeats;
 import sprucelanding.records.Invalid;
 import sprucelanding.records.Records;
@@ -12,7 +16,7 @@
 
 /** A day as it is scripted; day.cue says what each is, with its bounds. Times in ms. */
 public record Script(String name, long seed, double lasts, List<String> zones, List<Kind> kinds,
-        List<Ware> products, Replicas replicas, Proxies proxies, Governors governors, double txns, Clients clients,
+        List<Ware> products, Replicas replicas, Proxies proxies, Governors governors, Drawn random, double txns, Clients clients,
         Roster roster, Rules rules, List<Trouble> troubles) {
     public record Kind(String name, int cores, double speed, int slots, int room, double part) {
     }
@@ -28,7 +32,12 @@
             double ejectsFor) {
     }
 
-    public record Governors(int count, double lines, double head, int most, int messages, double span) {
+    public record Governors(int count, double lines, double head, int most, int messages, double span, boolean shared,
+            double lease, int room, boolean hints) {
+    }
+
+    /** Troubles of a governor each, drawn by the day's seed. */
+    public record Drawn(double every, double from, double until, double lasts, List<String> what) {
     }
 
     public record Clients(int retries, double pause, double tryShare) {
@@ -74,16 +83,46 @@
 
     /** The same day with other chances. */
     public Script seeded(long other) {
-        return new Script(name, other, lasts, zones, kinds, products, replicas, proxies, governors, txns, clients, roster, rules,
+        return new Script(name, other, lasts, zones, kinds, products, replicas, proxies, governors, random, txns, clients, roster, rules,
                 troubles);
     }
 
     /** The same day with other troubles. */
     public Script struck(List<Trouble> others) {
-        return new Script(name, seed, lasts, zones, kinds, products, replicas, proxies, governors, txns, clients, roster, rules,
+        return new Script(name, seed, lasts, zones, kinds, products, replicas, proxies, governors, random, txns, clients, roster, rules,
                 List.copyOf(others));
     }
 
+    /** Its troubles, and those that its seed draws. */
+    public List<Trouble> allTroubles() {
+        if (random == null) {
+            return troubles;
+        }
+        List<Trouble> all = new ArrayList<>(troubles);
+        SplittableRandom chance = new SplittableRandom(seed * 7919 + 17);
+        for (double at = random.from; at < random.until; at += random.every * (0.5 + chance.nextDouble())) {
+            String what = random.what.get(chance.nextInt(random.what.size()));
+            all.add(new Trouble(at, random.lasts * (0.5 + chance.nextDouble()), what, 1.0 / Math.max(1, governors.count), 1, null));
+        }
+        all.sort(Comparator.comparingDouble(Trouble::at));
+        return all;
+    }
+
+    /**
+     * The part of a station that tells of the other governors.
+     *
+     * @param at where each hears the others, by its number
+     * @param more fields beside
+     */
+    public String peers(int governor, IntFunction<String> at, String more) {
+        StringBuilder text = new StringBuilder("peers: {others: [");
+        for (int g = 0; governors.shared && g < governors.count; g++) {
+            text.append(g == governor ? "" : "{number: " + g + ", at: \"" + at.apply(g) + "\"}, ");
+        }
+        return text.append(String.format(Locale.ROOT, "], number: %d, lease: %.0fms, room: %d, hints: %b%s}%n", governor,
+                governors.lease, governors.room, governors.hints, more)).toString();
+    }
+
     /** The kind of a replica, by its position. */
     public int kindOf(int replica) {
         double x = (replica * 0.6180339887 + 0.5) % 1;
--- a/src/main/java/sprucelanding/day/Troubles.java
+++ b/src/main/java/sprucelanding/day/Troubles.java
@@ -13,6 +13,7 @@
 public final class Troubles {
     private static final double START_HEARD = 20; // ms until a process that began is told to the roster
     private static final double STALLS = 3000;
+    private static final double STOPS = 4000; // ms that a planned stop may take
     private final Script script;
     private final Fleet fleet;
     private final SplittableRandom chance;
@@ -107,9 +108,16 @@
             }
             case "proxyCrash" -> during(t, proxies(t), fleet::proxyCrash, fleet::proxyStart);
             case "alone" -> during(t, proxies(t), p -> fleet.alone(p, true), p -> fleet.alone(p, false));
-            case "governorCrash" -> during(t, governors(t), fleet::governorDies, fleet::governorStarts);
-            case "governorPause" -> during(t, governors(t), g -> fleet.governorPauses(g, true),
+            case "governorCrash" -> during(t, struck(t, "kill"), fleet::governorDies, fleet::governorStarts);
+            case "governorPause" -> during(t, struck(t, "pause"), g -> fleet.governorPauses(g, true),
                     g -> fleet.governorPauses(g, false));
+            case "governorStop" -> during(Math.max(STOPS, t.lasts()), struck(t, "stop"), fleet::governorStops, fleet::governorStarts);
+            case "governorCut" -> during(t, struck(t, "cut"), g -> fleet.governorCut(g, true), g -> fleet.governorCut(g, false));
+            case "peersCut" -> during(t, struck(t, "alone"), g -> fleet.peersCut(g, true), g -> fleet.peersCut(g, false));
+            case "peersLose" -> {
+                fleet.peersLose(Math.min(1, t.size()));
+                fleet.later(t.lasts(), () -> fleet.peersLose(0));
+            }
             case "governorStall" -> {
                 for (double at = 0; at < t.lasts(); at += STALLS) {
                     fleet.later(at, () -> during(t.size() * 1000, governors(t), g -> fleet.governorPauses(g, true),
@@ -134,6 +142,12 @@
         }
     }
 
+    private List<Integer> struck(Script.Trouble t, String what) {
+        List<Integer> all = governors(t);
+        all.forEach(g -> fleet.struck(g, what));
+        return all;
+    }
+
     private List<Integer> governors(Script.Trouble t) {
         int zone = zone(t);
         List<Integer> all = some(fleet.governors(), g -> zone < 0 || fleet.governorZone(g) == zone, 1);
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -43,6 +43,8 @@
     boolean gone;
     /** After a refusal, at most so many names go in one message until one gets through. */
     int atMost = Integer.MAX_VALUE;
+    private volatile double until = Double.POSITIVE_INFINITY;
+    private volatile long epoch;
 
     /** How a proxy takes what it is sent. */
     public enum Form {
@@ -64,6 +66,24 @@
         }
     }
 
+    /**
+     * Until when this governor may write to the proxy, on its own clock, and under which epoch. Without other governors nobody
+     * calls this: it may, under epoch 0.
+     */
+    public void leased(double until, long epoch) {
+        this.until = until;
+        this.epoch = epoch;
+    }
+
+    /** To be asked right before each write, by whatever thread writes: a governor that stood still may own the proxy no longer. */
+    public boolean may(double now) {
+        return now < until;
+    }
+
+    public long epoch() {
+        return epoch;
+    }
+
     /** Whether a name was acknowledged, by this version or another. */
     public boolean holds(Name name) {
         return held.containsKey(name);
--- a/src/main/java/sprucelanding/emulator/Emulation.java
+++ b/src/main/java/sprucelanding/emulator/Emulation.java
@@ -27,10 +27,12 @@
      * @param hash of all that was seen: equal for equal days
      * @param inForceP99 ms from an order to its acknowledgement
      * @param took ms of this machine
+     * @param peerBytes a second in all that governors told each other, peerPackets packets, sharingTook ms of this machine for it
      * @param samples each second: s, load by zone, share let in by product, ms of the longest order to come in force
      */
     public record Result(Day.Outcome outcome, double service, double worst, double[] windows, long hash, long txns, long tries,
-            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, double took, List<double[]> samples) {
+            double inForceP50, double inForceP99, int bugs, List<Verdict> verdicts, double took, List<double[]> samples,
+            double peerBytes, double peerPackets, double sharingTook) {
     }
 
     private final Script script;
@@ -75,7 +77,7 @@
     public static List<Station> stations(Script script, String overlayName, String overlay) throws Invalid {
         List<Station> all = new ArrayList<>();
         for (int g = 0; g < script.governors().count(); g++) {
-            String text = script.station(g, "127.0.0.1:1", "at: \"127.0.0.1:2\"", "peers: others: []\n");
+            String text = script.station(g, "127.0.0.1:1", "at: \"127.0.0.1:2\"", script.peers(g, n -> "127.0.0.1:3", ""));
             all.add(Station.parse("governor " + g, text, overlayName, overlay));
         }
         return all;
@@ -108,7 +110,8 @@
         Day.Outcome outcome = e.figures.outcome(policy.name().toLowerCase(Locale.ROOT), lasts, verdicts, false, 0, 0, List.of());
         return new Result(outcome, e.figures.service(), outcome.figures().path("worst10s").asDouble(), windows, e.hash, e.txns,
                 e.figures.tries(), inForce.getValueAtPercentile(50) / 1000.0, inForce.getValueAtPercentile(99) / 1000.0, bugs,
-                verdicts, took, world.samples());
+                verdicts, took, world.samples(), world.peerBytes() * 1000 / lasts, world.peerPackets() * 1000 / lasts,
+                world.offices.stream().mapToDouble(Office::sharingTook).sum() * 1000 / lasts);
     }
 
     private void saw(Seen each) {
--- a/src/main/java/sprucelanding/emulator/Office.java
+++ b/src/main/java/sprucelanding/emulator/Office.java
@@ -9,6 +9,7 @@
 import sprucelanding.capture.Overheard;
 import sprucelanding.core.Ear;
 import sprucelanding.core.Round;
+import sprucelanding.core.Shared;
 import sprucelanding.core.Straight;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Message;
@@ -20,15 +21,16 @@
 final class Office implements Round.Host {
     private static final double ROUND = 0.1; // ms until a batch of what came is settled
     static final double STARTS = 900; // ms from its start until it listens
+    private static final double LEAVES = 3000; // ms that a planned stop may take
 
     final int number;
     final int zone;
     final Set<Stream> streams = new LinkedHashSet<>();
     private final World world;
     private final Station station;
-    private final ArrayDeque<Consumer<Round>> steps = new ArrayDeque<>();
+    private final ArrayDeque<Consumer<Shared>> steps = new ArrayDeque<>();
     private final Histogram inForce = new Histogram(600_000_000L, 3);
-    private Round round;
+    private Shared shared;
     private String kept;
     private int life;
     private boolean paused;
@@ -37,6 +39,9 @@
     private double writtenBy;
     private int breakZone = -1;
     private int breakAfter;
+    private boolean alone;
+    private long highest;
+    private long sharingNanos;
     private int bugs;
     private double longest;
 
@@ -48,7 +53,7 @@
     }
 
     void start() {
-        if (round != null) {
+        if (shared != null) {
             return;
         }
         int me = ++life;
@@ -59,16 +64,19 @@
             Choice choice = Parts.module(station);
             Overheard.Sink sink = world.capture(number, me);
             Overheard overheard = sink == null ? null : new Overheard(new Straight(choice), sink);
-            round = Parts.round(station, this, choice, sink == null ? new Straight(choice) : overheard,
-                    sink == null ? Ear.NONE : overheard, 0);
-            round.start(kept, station.roster().pushed(), station.reports().every());
-            round.settle();
+            highest = Math.max((long) now(), highest + 1);
+            shared = new Shared(this, (to, message) -> world.tell(number, to, message),
+                    Parts.sharing(station, highest, now()), world.zones::indexOf,
+                    host -> Parts.round(station, host, choice, sink == null ? new Straight(choice) : overheard,
+                            sink == null ? Ear.NONE : overheard, 0));
+            shared.start(kept, station.roster().pushed(), station.reports().every());
+            shared.settle();
         });
     }
 
     void dies() {
         life++;
-        round = null;
+        shared = null;
         paused = false;
         planned = false;
         watches = false;
@@ -85,7 +93,7 @@
     }
 
     boolean alive() {
-        return round != null;
+        return shared != null;
     }
 
     boolean paused() {
@@ -105,7 +113,7 @@
     }
 
     /** From the world; what comes while it is paused waits. */
-    void hand(Consumer<Round> step) {
+    void hand(Consumer<Shared> step) {
         if (alive()) {
             steps.add(step);
             plan();
@@ -127,9 +135,10 @@
 
     private void settle() {
         while (!steps.isEmpty()) {
-            steps.poll().accept(round);
+            steps.poll().accept(shared);
         }
-        round.settle();
+        shared.settle();
+        highest = Math.max(highest, shared.highest());
     }
 
     /** When its writing threads have done with so much more. */
@@ -138,6 +147,60 @@
         return writtenBy;
     }
 
+    /** Another governor said something. */
+    void heard(Object message) {
+        hand(s -> {
+            long began = System.nanoTime();
+            s.heard(message);
+            sharingNanos += System.nanoTime() - began;
+        });
+    }
+
+    /** ms of this machine that what other governors said took so far. */
+    double sharingTook() {
+        return sharingNanos / 1e6;
+    }
+
+    /** Its proxies and it do not hear each other. */
+    void alone(boolean on) {
+        alone = on;
+        Set.copyOf(streams).forEach(Stream::look);
+    }
+
+    boolean alone() {
+        return alone;
+    }
+
+    /** Planned: its proxies are sent on, then it ends. */
+    void stops() {
+        int me = life;
+        hand(s -> s.leaves(() -> world.clock.in(1, () -> {
+            if (me == life) {
+                dies();
+            }
+        })));
+        world.clock.in(LEAVES, () -> {
+            if (me == life) {
+                dies();
+            }
+        });
+    }
+
+    /** Looked at right before a write, as the fronts do; a governor that may not write any more ends the stream. */
+    boolean mayWrite(Message m) {
+        if (m.to.may(now()) && !paused) {
+            return true;
+        }
+        if (!paused) {
+            ((Stream) m.to.stream).ended();
+        }
+        return false;
+    }
+
+    String voice(Holder to) {
+        return station.name() + (to.epoch() == 0 ? "" : "#" + to.epoch());
+    }
+
     void breaksAfter(int zone, int bytes) {
         breakZone = zone;
         breakAfter = bytes;
@@ -170,7 +233,7 @@
         int me = life;
         world.clock.at(time, () -> {
             if (me == life) {
-                steps.add(r -> step.run());
+                steps.add(s -> step.run());
                 if (!paused) {
                     settle();
                 }
@@ -198,7 +261,7 @@
                 if (!done[0]) {
                     done[0] = true;
                     if (me == life) {
-                        hand(r -> r.probed(replica.id(), answer, load));
+                        hand(s -> s.round().probed(replica.id(), answer, load));
                     }
                 }
             }
@@ -243,9 +306,9 @@
 
     /** The roster tells something. */
     void told(String text) {
-        hand(r -> {
-            if (r.told(text)) {
-                kept = r.roll();
+        hand(s -> {
+            if (s.round().told(text)) {
+                kept = s.round().roll();
             } else {
                 world.roster.opens(this);
             }
--- a/src/main/java/sprucelanding/emulator/Proxy.java
+++ b/src/main/java/sprucelanding/emulator/Proxy.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import sprucelanding.core.Round;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Item;
 import sprucelanding.delivery.Kind;
@@ -266,7 +267,7 @@
         if (form == Holder.Form.EDITS && stream != null) {
             held.put(Name.line(0, world.servers.get(0).id), "d1");
             Map<Name, String> all = Map.copyOf(held);
-            stream.up(round -> round.holdsAll(stream.holder, all));
+            stream.up(shared -> shared.round().holdsAll(stream.holder, all));
         }
     }
 
@@ -335,8 +336,9 @@
         boolean bare = form == Holder.Form.WHOLE ? !stateAccepted
                 : form == Holder.Form.EDITS ? !held.containsKey(Name.ROUTE) : held.isEmpty();
         Map<Name, String> all = new LinkedHashMap<>(held);
-        s.open(round -> {
-            round.dialled(s, s.holder, "proxy-" + number, world.zones.get(zone), usual, bare);
+        s.open(shared -> {
+            Round round = shared.round();
+            shared.dialled(s, s.holder, "proxy-" + number, world.zones.get(zone), usual, bare);
             if (form == Holder.Form.CHANGES) {
                 round.holds(s.holder, all);
             }
@@ -379,14 +381,14 @@
                 double now = world.clock.now();
                 Report r = new Report(number, now - reportedAt, all, counts);
                 reportedAt = now;
-                s.up(round -> round.reported(r));
+                s.up(shared -> shared.round().reported(r));
                 report(s);
             }
         });
     }
 
     /** A message came to be read. */
-    void received(Stream s, Message m) {
+    void received(Stream s, Message m, String voice) {
         if (s != stream) {
             return;
         }
@@ -398,7 +400,7 @@
         boolean no = rejects > 0 && (form != Holder.Form.CHANGES || !m.items.isEmpty());
         String kind = m.kind == null ? "edit" : m.kind.name();
         world.saw(new Seen.Message(now, number, s.office.number, form == Holder.Form.EDITS ? "netconf" : "xds", kind, m.id,
-                no ? 0 : form == Holder.Form.WHOLE ? Math.max(m.lines(), m.items.size()) : m.items.size() + m.gone.size()));
+                no ? 0 : form == Holder.Form.WHOLE ? Math.max(m.lines(), m.items.size()) : m.items.size() + m.gone.size(), voice));
         if (no) {
             rejects--;
             answer(s, m, "rejected by script");
@@ -418,7 +420,8 @@
         stateAccepted = true;
         picks();
         answer(s, m, null);
-        s.up(round -> {
+        s.up(shared -> {
+            Round round = shared.round();
             away.forEach(t -> {
                 round.subscribed(s.holder, Kind.ENDPOINTS, t, false);
                 round.subscribed(s.holder, Kind.LINE, t, false);
@@ -433,13 +436,13 @@
     private void answer(Stream s, Message m, String why) {
         if (mute > 0 && form == Holder.Form.EDITS) {
             mute--; // the device did it and says nothing: it is read again
-            world.clock.in(World.UNANSWERED, () -> s.up(round -> round.answered(s.holder, m.id, why)));
+            world.clock.in(World.UNANSWERED, () -> s.up(shared -> shared.round().answered(s.holder, m.id, why)));
             return;
         }
         Runnable send = () -> {
             if (s == stream) {
                 world.saw(new Seen.Answered(world.clock.now(), number, m.id, why != null));
-                s.up(round -> round.answered(s.holder, m.id, why));
+                s.up(shared -> shared.round().answered(s.holder, m.id, why));
             }
         };
         double after = answersAfter + (form == Holder.Form.EDITS ? World.EDIT_TAKES : 0);
--- a/src/main/java/sprucelanding/emulator/Roster.java
+++ b/src/main/java/sprucelanding/emulator/Roster.java
@@ -32,7 +32,7 @@
             if (!office.alive()) {
                 return;
             }
-            office.hand(r -> r.rosterOpened());
+            office.hand(r -> r.round().rosterOpened());
             double now = world.clock.now();
             List<Entry> all = List.copyOf(entries.values());
             world.saw(new Seen.ToldAll(now, office.number, all.stream().map(Entry::id).collect(Collectors.toSet())));
@@ -72,7 +72,7 @@
 
     void restarts() {
         world.offices.stream().filter(o -> o.alive() && o.watches()).forEach(o -> {
-            o.hand(r -> r.rosterBroke("the roster starts anew", true));
+            o.hand(r -> r.round().rosterBroke("the roster starts anew", true));
             world.clock.in(REOPENS, () -> opens(o));
         });
     }
--- a/src/main/java/sprucelanding/emulator/Stream.java
+++ b/src/main/java/sprucelanding/emulator/Stream.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
-import sprucelanding.core.Round;
+import sprucelanding.core.Shared;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Message;
 
@@ -18,8 +18,12 @@
     private final World world;
     private final Proxy proxy;
     private final boolean kept;
-    private final ArrayDeque<Message> downHeld = new ArrayDeque<>();
-    private final ArrayDeque<Consumer<Round>> upHeld = new ArrayDeque<>();
+    /** A message as it was written, and by whom under which epoch. */
+    private record Written(Message message, String voice) {
+    }
+
+    private final ArrayDeque<Written> downHeld = new ArrayDeque<>();
+    private final ArrayDeque<Consumer<Shared>> upHeld = new ArrayDeque<>();
     private double lastDown;
     private boolean over;
     private boolean watched;
@@ -32,7 +36,7 @@
         this.kept = form != Holder.Form.EDITS;
     }
 
-    void open(Consumer<Round> first) {
+    void open(Consumer<Shared> first) {
         office.streams.add(this);
         if (!office.alive()) {
             world.clock.in(OPENS, () -> proxy.broke(this));
@@ -43,15 +47,15 @@
     }
 
     private boolean silent() {
-        return !world.open(proxy.zone, office.zone);
+        return !world.open(proxy.zone, office.zone) || office.alone();
     }
 
     /** The proxy says something. */
-    void up(Consumer<Round> step) {
+    void up(Consumer<Shared> step) {
         world.clock.in(World.HOP, () -> upward(step));
     }
 
-    private void upward(Consumer<Round> step) {
+    private void upward(Consumer<Shared> step) {
         if (over) {
             return;
         }
@@ -65,23 +69,30 @@
     /** The governor writes a message. */
     void down(Message m) {
         lastDown = Math.max(lastDown, office.writes(MESSAGE_TAKES + LINE_TAKES * m.lines())) + 1e-6;
-        world.clock.at(lastDown + World.HOP, () -> {
-            if (over) {
-                return;
-            }
-            if (office.breaks(proxy.zone, m)) {
-                proxy.broke(this);
+        world.clock.at(lastDown, () -> {
+            if (over || !office.mayWrite(m)) {
                 return;
             }
-            downHeld.add(m);
-            flush();
+            String voice = office.voice(holder);
+            world.clock.in(World.HOP, () -> {
+                if (over) {
+                    return;
+                }
+                if (office.breaks(proxy.zone, m)) {
+                    proxy.broke(this);
+                    return;
+                }
+                downHeld.add(new Written(m, voice));
+                flush();
+            });
         });
     }
 
     /** The way may be open again: what was held up goes on. */
     void flush() {
         while (!over && !silent() && !proxy.readsNothing && !downHeld.isEmpty()) {
-            proxy.received(this, downHeld.poll());
+            Written next = downHeld.poll();
+            proxy.received(this, next.message, next.voice);
         }
         while (!over && !silent() && !upHeld.isEmpty()) {
             office.hand(upHeld.poll());
@@ -107,7 +118,7 @@
         if (!over) {
             over = true;
             office.streams.remove(this);
-            office.hand(round -> round.left(holder));
+            office.hand(shared -> shared.left(holder));
         }
     }
 
--- a/src/main/java/sprucelanding/emulator/World.java
+++ b/src/main/java/sprucelanding/emulator/World.java
@@ -17,6 +17,7 @@
 import sprucelanding.day.Script;
 import sprucelanding.day.Troubles;
 import sprucelanding.delivery.Holder;
+import sprucelanding.fleet.Packets;
 import sprucelanding.model.Machine;
 import sprucelanding.model.Shunned;
 import sprucelanding.model.Tables;
@@ -56,6 +57,12 @@
     private final int devicesFrom;
     private final double lasts;
     private final Fate fate;
+    private final Set<Integer> cutOff = new HashSet<>();
+    private final Packets packets = new Packets(List.of(new byte[16])); // for their sizes only
+    private final SplittableRandom peerChance;
+    private double peersLose;
+    private long peerBytes;
+    private long peerPackets;
     private double rate = 1;
     private long txns;
 
@@ -83,6 +90,7 @@
         this.seen = seen;
         this.ears = ears;
         this.chance = new SplittableRandom(script.seed());
+        this.peerChance = new SplittableRandom(seed * 5000 + 1);
         this.zones = script.zones();
         this.kinds = script.kinds().stream().map(Script.Kind::name).toList();
         this.products = script.products().stream().map(Script.Ware::name).toList();
@@ -161,7 +169,7 @@
     /** The troubles of its script. */
     void scripted() {
         Troubles troubles = new Troubles(script, this, chance);
-        for (Script.Trouble t : script.troubles()) {
+        for (Script.Trouble t : script.allTroubles()) {
             if (t.at() < lasts) {
                 clock.at(begin() + t.at(), () -> troubles.strike(t));
             }
@@ -443,6 +451,58 @@
         offices.get(governor).pauses(on);
     }
 
+    @Override
+    public void governorStops(int governor) {
+        offices.get(governor).stops();
+    }
+
+    @Override
+    public void governorCut(int governor, boolean on) {
+        offices.get(governor).alone(on);
+    }
+
+    @Override
+    public void peersCut(int governor, boolean on) {
+        if (on) {
+            cutOff.add(governor);
+        } else {
+            cutOff.remove(governor);
+        }
+    }
+
+    @Override
+    public void peersLose(double share) {
+        peersLose = share;
+    }
+
+    @Override
+    public void struck(int governor, String what) {
+        saw(new Seen.Struck(clock.now(), governor, what));
+    }
+
+    /** From one governor to another, or to all: -1. */
+    void tell(int from, int to, Object message) {
+        int size = packets.put(message).length;
+        for (Office o : offices) {
+            if (o.number != from && (to < 0 || to == o.number)) {
+                peerBytes += size;
+                peerPackets++;
+                if (open(offices.get(from).zone, o.zone) && !cutOff.contains(from) && !cutOff.contains(o.number)
+                        && peerChance.nextDouble() >= peersLose) {
+                    clock.in(HOP + peerChance.nextDouble(), () -> o.heard(message));
+                }
+            }
+        }
+    }
+
+    long peerBytes() {
+        return peerBytes;
+    }
+
+    long peerPackets() {
+        return peerPackets;
+    }
+
     @Override
     public void lockHeld(int device, double ms) {
         Proxy p = proxies.get(devicesFrom + device);
--- a/src/main/java/sprucelanding/fleet/Packets.java
+++ b/src/main/java/sprucelanding/fleet/Packets.java
@@ -34,18 +34,21 @@
     private static final byte RELEASE = 3;
     private static final byte SAID = 4;
 
-    private final Mac mac;
+    private final List<Mac> macs = new ArrayList<>();
 
-    /** @param key shared by all governors; 16 bytes at least */
-    public Packets(byte[] key) {
-        if (key.length < SUM) {
-            throw new IllegalArgumentException("a key of " + key.length + " bytes; expected " + SUM + " at least");
-        }
-        try {
-            mac = Mac.getInstance(HOW);
-            mac.init(new SecretKeySpec(key, HOW));
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException(e);
+    /** @param keys shared by all governors, 16 bytes each at least: the first signs, all are accepted */
+    public Packets(List<byte[]> keys) {
+        for (byte[] key : keys) {
+            if (key.length < SUM) {
+                throw new IllegalArgumentException("a key of " + key.length + " bytes; expected " + SUM + " at least");
+            }
+            try {
+                Mac mac = Mac.getInstance(HOW);
+                mac.init(new SecretKeySpec(key, HOW));
+                macs.add(mac);
+            } catch (GeneralSecurityException e) {
+                throw new IllegalStateException(e);
+            }
         }
     }
 
@@ -80,7 +83,7 @@
             throw new IllegalArgumentException("a message of " + content.length + " bytes");
         }
         byte[] packet = Arrays.copyOf(content, content.length + SUM);
-        System.arraycopy(mac.doFinal(content), 0, packet, content.length, SUM);
+        System.arraycopy(macs.get(0).doFinal(content), 0, packet, content.length, SUM);
         return packet;
     }
 
@@ -95,8 +98,8 @@
             throw new Refused("a packet of " + packet.length + " bytes");
         }
         byte[] content = Arrays.copyOf(packet, packet.length - SUM);
-        byte[] sum = Arrays.copyOf(mac.doFinal(content), SUM);
-        if (!MessageDigest.isEqual(sum, Arrays.copyOfRange(packet, content.length, packet.length))) {
+        byte[] sum = Arrays.copyOfRange(packet, content.length, packet.length);
+        if (macs.stream().noneMatch(mac -> MessageDigest.isEqual(sum, Arrays.copyOf(mac.doFinal(content), SUM)))) {
             throw new Refused("its sum is wrong: cut off, or by another key");
         }
         ByteBuffer in = ByteBuffer.wrap(content);
--- a/src/main/java/sprucelanding/fleet/Sharing.java
+++ b/src/main/java/sprucelanding/fleet/Sharing.java
@@ -160,6 +160,11 @@
         return leases.owned();
     }
 
+    /** The highest epoch heard of: the next life must begin above it. */
+    public long highest() {
+        return leases.highest();
+    }
+
     public Set<Integer> live() {
         return peers.live();
     }
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -1,14 +1,14 @@
 package sprucelanding.governor;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.DatagramChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -16,10 +16,12 @@
 import org.slf4j.spi.LoggingEventBuilder;
 import sprucelanding.Choice;
 import sprucelanding.core.Round;
+import sprucelanding.core.Shared;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Kind;
 import sprucelanding.delivery.Message;
 import sprucelanding.delivery.Name;
+import sprucelanding.fleet.Sharing;
 import sprucelanding.intake.Report;
 import sprucelanding.loop.Loop;
 import sprucelanding.roster.Entry;
@@ -32,7 +34,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Governor.class);
     private static final int PROXIES = 65_535;
     private static final double FIGURES = 10_000; // ms between lines with the figures
-    private static final int NOTE = 256;
 
     /** Names of the site, by position. */
     public record Names(List<String> products, List<String> zones, List<String> kinds) {
@@ -48,6 +49,7 @@
 
     private final Loop loop = new Loop("core");
     private final Names names;
+    private final Shared shared;
     private final Round round;
     private final Listing listing;
     private final Probing probing;
@@ -55,8 +57,8 @@
     private final Keep keep;
     private final RosterLink link;
     private final List<Front> fronts = new ArrayList<>();
-    private final List<InetSocketAddress> peers = new ArrayList<>();
-    private DatagramChannel datagrams;
+    private final Fellows fellows;
+    private PeerLink peers;
     private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
     private final Map<Integer, String> proxies = new ConcurrentHashMap<>();
     private final AtomicInteger nextNumber = new AtomicInteger();
@@ -65,13 +67,25 @@
     private final Map<Front, Tally> tallies = new LinkedHashMap<>();
     private Thread thread;
 
-    /** @param core makes it on the host that it is given */
-    public Governor(Names names, Listing listing, Probing probing, boolean byRate, Function<Round.Host, Round> core) {
+    /** The other governors, by number: where they are told, where they tell, what signs that, and what lasts. */
+    public record Fellows(Sharing sharing, InetSocketAddress here, Map<Integer, InetSocketAddress> others, Secrets secrets,
+            Lives lives) {
+    }
+
+    /**
+     * @param fellows null: it is alone
+     * @param core makes it on the host that it is given
+     */
+    public Governor(Names names, Listing listing, Probing probing, boolean byRate, Fellows fellows,
+            Function<Round.Host, Round> core) {
         this.names = names;
         this.listing = listing;
         this.probing = probing;
         this.byRate = byRate;
-        this.round = core.apply(new World());
+        this.fellows = fellows;
+        this.shared = new Shared(new World(), (to, message) -> peers.tell(to, message), fellows == null ? null : fellows.sharing(),
+                names.zones()::indexOf, core);
+        this.round = shared.round();
         this.keep = listing.kept() == null ? null : new Keep(listing.kept());
         this.link = new RosterLink(loop, listing.at(), listing.from(), new RosterLink.Heard() {
             @Override
@@ -105,17 +119,15 @@
         tallies.put(front, new Tally());
     }
 
-    /** Where notes to and from the other governors go; they may be lost. */
-    public void peers(InetSocketAddress here, List<InetSocketAddress> others) {
-        peers.addAll(others);
-        datagrams = loop.datagrams(here, (from, note) -> { }); // Choice asks for none so far
-    }
-
     /** @param every ms between the sums that Choice is told */
     public void start(double every) {
         thread = new Thread(loop, "core");
-        loop.afterEach(round::settle);
-        round.start(keep == null ? null : keep.read(), listing.pushed(), every);
+        loop.afterEach(shared::settle);
+        if (fellows != null) {
+            peers = new PeerLink(loop, fellows.here(), fellows.others(), fellows.secrets(), fellows.lives(), shared::heard,
+                    shared::refused, shared::highest);
+        }
+        shared.start(keep == null ? null : keep.read(), listing.pushed(), every);
         loop.every(FIGURES, this::figures);
         thread.start();
     }
@@ -128,7 +140,7 @@
 
     @Override
     public boolean dialled(Front front, Holder holder, String zone, double usual, boolean bare) {
-        return loop.hand(() -> round.dialled(front, holder, proxies.getOrDefault(holder.id, ""), zone, usual, bare));
+        return loop.hand(() -> shared.dialled(front, holder, proxies.getOrDefault(holder.id, ""), zone, usual, bare));
     }
 
     @Override
@@ -138,7 +150,7 @@
 
     @Override
     public boolean left(Holder holder) {
-        return loop.hand(() -> round.left(holder));
+        return loop.hand(() -> shared.left(holder));
     }
 
     @Override
@@ -200,7 +212,8 @@
 
     /** A line with the figures since the last one, and one for each front. */
     private void figures() {
-        put(log("figures"), round.figures()).log();
+        LoggingEventBuilder line = put(put(log("figures"), round.figures()), shared.figures());
+        (peers == null ? line : put(line, peers.figures())).log();
         tallies.forEach((front, tally) -> tally.into(log("front").addKeyValue("front", front.name())).log());
     }
 
@@ -217,8 +230,22 @@
         return loop.hand(step);
     }
 
+    /** Planned: sends its proxies on to the others; true once all have gone, false if that took longer than ms. */
+    public boolean leaves(double ms) {
+        CountDownLatch gone = new CountDownLatch(1);
+        try {
+            return loop.hand(() -> shared.leaves(gone::countDown)) && gone.await((long) ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     public void close() {
         loop.close();
+        if (peers != null) {
+            peers.close();
+        }
         fronts.forEach(Front::close);
         if (keep != null) {
             keep.close();
@@ -259,13 +286,7 @@
 
         @Override
         public void tellPeers(byte[] note) {
-            for (InetSocketAddress peer : peers) {
-                try {
-                    datagrams.send(ByteBuffer.wrap(note, 0, Math.min(NOTE, note.length)), peer);
-                } catch (java.io.IOException e) {
-                    LOG.atDebug().setCause(e).log("a note to a peer is lost");
-                }
-            }
+            // Choice asks for none; what governors tell each other is the sharing's
         }
 
         @Override
--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -52,6 +52,7 @@
     private static final int MAILBOX = 65_536;
     private static final int HANDED_AT_ONCE = 4096;
     private static final int DATAGRAM = 2048;
+    private static final int DATAGRAMS_AT_ONCE = 256;
 
     private final String name;
     private final Selector selector;
@@ -187,14 +188,16 @@
             channel.configureBlocking(false);
             ByteBuffer in = ByteBuffer.allocate(DATAGRAM);
             Ready ready = key -> {
-                in.clear();
-                for (InetSocketAddress from = (InetSocketAddress) channel.receive(in); from != null;
-                        from = (InetSocketAddress) channel.receive(in)) {
+                for (int n = 0; n < DATAGRAMS_AT_ONCE; n++) { // a flood is left to the socket's own buffer
+                    in.clear();
+                    InetSocketAddress from = (InetSocketAddress) channel.receive(in);
+                    if (from == null) {
+                        break;
+                    }
                     in.flip();
                     byte[] note = new byte[in.remaining()];
                     in.get(note);
                     came.accept(from, note);
-                    in.clear();
                 }
             };
             channel.register(selector, SelectionKey.OP_READ, ready);
--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -244,6 +244,17 @@
 
     @Override
     public void ask(Edits.Op op, Message edit, double waits) {
+        if ((op == Edits.Op.EDIT || op == Edits.Op.TRY_COMMIT || op == Edits.Op.COMMIT) && !holder.may(Loop.now())) {
+            // A governor that stood still: what it may no longer write is not written. The device dials anew.
+            log("an edit is not written: the lease has run out").addKeyValue("epoch", holder.epoch()).log();
+            Line dead = line;
+            front.loop().in(0, () -> {
+                if (line == dead) {
+                    ends("this governor may no longer write to it");
+                }
+            });
+            return;
+        }
         long id = ++ids;
         if (op == Edits.Op.TRY_COMMIT) {
             trial = id;
@@ -253,7 +264,8 @@
         known.put(id, op);
         String rpc;
         try {
-            rpc = Words.rpc(id, op, edit, can, front.confirms(), front.identifier() + "-" + number + "-" + trial, site);
+            rpc = Words.rpc(id, op, edit, can, front.confirms(), front.identifier() + "-" + number + "-" + trial,
+                    holder.epoch() == 0 ? "" : front.identifier() + "#" + holder.epoch(), site);
         } catch (IllegalStateException e) {
             asked = null;
             front.loop().in(0, () -> {
--- a/src/main/java/sprucelanding/netconf/Words.java
+++ b/src/main/java/sprucelanding/netconf/Words.java
@@ -48,11 +48,13 @@
      *
      * @param confirms ms after which the device takes back a commit on trial
      * @param trial names the trial, so that a later session can confirm it
+     * @param voice who writes, with its epoch, as an attribute of the rpc (RFC 6241, section 4.1); empty for none
      */
     public static String rpc(long id, Edits.Op op, Message edit, Edits.Abilities can, double confirms, String trial,
-            Site site) {
+            String voice, Site site) {
         String target = can.candidate() ? "candidate" : "running";
-        return "<rpc message-id=\"" + id + "\" xmlns=\"" + BASE + "\">" + switch (op) {
+        String said = voice.isEmpty() ? "" : " xmlns:sl=\"" + ROUTING + "\" sl:voice=\"" + Elem.escaped(voice) + "\"";
+        return "<rpc message-id=\"" + id + "\" xmlns=\"" + BASE + "\"" + said + ">" + switch (op) {
             case READ -> "<get-config><source><running/></source><filter type=\"subtree\"><routing xmlns=\"" + ROUTING
                     + "\"/></filter></get-config>";
             case LOCK -> "<lock><target><" + target + "/></target></lock>";
--- a/src/main/java/sprucelanding/program/Build.java
+++ b/src/main/java/sprucelanding/program/Build.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sprucelanding.Choice;
@@ -11,6 +13,8 @@
 import sprucelanding.core.Ear;
 import sprucelanding.core.Straight;
 import sprucelanding.governor.Governor;
+import sprucelanding.governor.Lives;
+import sprucelanding.governor.Secrets;
 import sprucelanding.loop.Loop;
 import sprucelanding.netconf.Keys;
 import sprucelanding.netconf.NetconfFront;
@@ -52,18 +56,15 @@
         Choice choice = Parts.module(s);
         Log log = captures(s, text);
         Overheard overheard = log == null ? null : new Overheard(new Straight(choice), log::put);
+        Governor.Fellows fellows = fellows(s);
         Governor governor = new Governor(
                 new Governor.Names(s.products().stream().map(Station.Ware::name).toList(), s.zones(), s.kinds()),
                 new Governor.Listing(address(s.roster().at(), "roster.at"),
                         s.roster().from() == null ? null : new InetSocketAddress(s.roster().from(), 0),
                         s.roster().pushed(), s.roster().keep() == null ? null : Path.of(s.roster().keep())),
-                new Governor.Probing(s.probes().allowed(), s.probes().timeout()), s.admits().equals("rate"),
+                new Governor.Probing(s.probes().allowed(), s.probes().timeout()), s.admits().equals("rate"), fellows,
                 host -> Parts.round(s, host, choice, log == null ? new Straight(choice) : overheard,
                         log == null ? Ear.NONE : overheard, System.currentTimeMillis() - Loop.now()));
-        if (s.peers().at() != null) {
-            governor.peers(address(s.peers().at(), "peers.at"),
-                    s.peers().others().stream().map(p -> address(p, "peers.others")).toList());
-        }
         XdsFront xds = new XdsFront(governor, governor, s.name(), address(s.xds().at(), "xds.at"), s.xds().largest(),
                 s.reports().every());
         governor.front(xds);
@@ -77,6 +78,26 @@
         return new Built(governor, xds, netconf, log);
     }
 
+    /** Null if it is alone; throws IllegalArgumentException with the field, or IOException for what its files say. */
+    private static Governor.Fellows fellows(Station s) throws IOException {
+        Station.Peers p = s.peers();
+        if (p.others().isEmpty()) {
+            return null;
+        }
+        shares(p);
+        Map<Integer, InetSocketAddress> others = new TreeMap<>();
+        p.others().forEach(o -> others.put(o.number(), address(o.at(), "peers.others")));
+        Lives lives = new Lives(p.keep() == null ? null : Path.of(p.keep()), System.currentTimeMillis());
+        return new Governor.Fellows(Parts.sharing(s, lives.life(), Loop.now()), address(p.at(), "peers.at"), others,
+                new Secrets(Path.of(p.key())), lives);
+    }
+
+    private static void shares(Station.Peers p) {
+        if (p.at() == null || p.key() == null) {
+            throw new IllegalArgumentException("peers." + (p.at() == null ? "at" : "key") + ": missing, but there are others");
+        }
+    }
+
     private static final int LIVES = 1000;
 
     private static Log captures(Station s, String text) throws IOException {
@@ -98,6 +119,10 @@
     /** All of a station but its sockets; throws IllegalArgumentException with the field. */
     static void check(Station s) {
         Parts.module(s);
+        Parts.sharing(s, 0, 0);
+        if (!s.peers().others().isEmpty()) {
+            shares(s.peers());
+        }
         address(s.xds().at(), "xds.at");
         address(s.roster().at(), "roster.at");
     }
--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -46,6 +46,7 @@
     @Command(name = "govern", mixinStandardHelpOptions = true, description = "Runs a governor until it is stopped.")
     static final class Govern implements Callable<Integer> {
         private static final Logger LOG = LoggerFactory.getLogger("sprucelanding.govern");
+        private static final double LEAVES = 2500; // ms that it has for sending its proxies on
         @Option(names = "--config", required = true, description = "its station, a file of records")
         private Path config;
         @Mixin
@@ -57,7 +58,9 @@
             Station station = Station.parse(config.getFileName().toString(), text, with.name(), with.text());
             Build.Built built = Build.build(station, text);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                LOG.atInfo().setMessage("stops").log();
+                boolean shares = !station.peers().others().isEmpty();
+                boolean gone = shares && built.governor().leaves(LEAVES);
+                LOG.atInfo().setMessage("stops").addKeyValue("proxiesSentOn", gone).log();
                 built.close();
             }));
             built.start(station.reports().every());
@@ -88,6 +91,7 @@
         @Override
         public Integer call() throws Exception {
             Script day = Script.read(script);
+            System.err.println("seed " + day.seed());
             Day.Outcome outcome = new Day(day, seconds > 0 ? seconds * 1000 : day.lasts(), tables, with.file(), logs, captures).play();
             System.out.print(outcome.table());
             if (report != null) {
--- a/src/main/java/sprucelanding/rules/Judge.java
+++ b/src/main/java/sprucelanding/rules/Judge.java
@@ -59,6 +59,8 @@
         /** By product, since when it has been wrongly without a line; negative: it is not. */
         final Map<Integer, Double> bare = new HashMap<>();
         final ArrayDeque<Double> messages = new ArrayDeque<>();
+        long epoch;
+        String voice = "";
     }
 
     private static final class Cold {
@@ -83,6 +85,9 @@
     private final Watch drains = new Watch("drains kept");
     private final Watch cold = new Watch("no cold replica pushed over");
     private final Watch queue = new Watch("a short queue");
+    /** Judged where governors share the fleet. */
+    private final Watch voices = new Watch("one voice for each proxy");
+    private boolean share;
     private final Map<Integer, Proxy> proxies = new TreeMap<>();
     private final Map<Integer, Map<Long, Listed>> lists = new HashMap<>();
     private final Map<Long, Seen.Effect> effects = new HashMap<>();
@@ -108,6 +113,9 @@
         for (Watch w : List.of(lines, twice, drains, cold, queue)) {
             all.add(w.verdict());
         }
+        if (share) {
+            all.add(voices.verdict());
+        }
         return all;
     }
 
@@ -225,6 +233,7 @@
 
     private void message(Seen.Message e) {
         Proxy p = proxy(e.proxy());
+        voice(p, e);
         if (p.governor != e.governor()) {
             return; // of a former stream
         }
@@ -244,6 +253,22 @@
         }
     }
 
+    /** Epochs never go back at a proxy, one epoch has one writer, and once there are epochs nothing comes without. */
+    private void voice(Proxy p, Seen.Message e) {
+        int mark = e.voice().lastIndexOf('#');
+        long epoch = mark < 0 ? 0 : Long.parseLong(e.voice().substring(mark + 1));
+        share |= epoch > 0;
+        if (!share) {
+            return;
+        }
+        boolean back = epoch < p.epoch;
+        boolean two = epoch == p.epoch && !e.voice().equals(p.voice) && !p.voice.isEmpty();
+        voices.share(back || two ? 2 : 0, "at %.3f s proxy %d read a message of %s after one of %s", s(e.at()), e.proxy(),
+                e.voice().isEmpty() ? "no epoch" : e.voice(), p.voice);
+        p.epoch = Math.max(epoch, p.epoch);
+        p.voice = epoch >= p.epoch ? e.voice() : p.voice;
+    }
+
     /** Looks at who is without a line though its governor's list shows one that is ready and warm. */
     private void bare(double now) {
         Set<Integer> able = new HashSet<>();
--- a/src/main/java/sprucelanding/rules/Seen.java
+++ b/src/main/java/sprucelanding/rules/Seen.java
@@ -35,11 +35,19 @@
     record Left(double at, int proxy) implements Seen {
     }
 
-    /** A proxy read a message of a governor's. */
-    record Message(double at, int proxy, int governor, String front, String kind, long nonce, int lines)
+    /**
+     * A proxy read a message of a governor's.
+     *
+     * @param voice who wrote it and under which epoch, by its own word: NAME#EPOCH; no epoch where governors do not share
+     */
+    record Message(double at, int proxy, int governor, String front, String kind, long nonce, int lines, String voice)
             implements Seen {
     }
 
+    /** By script something befell a governor: kill, pause, stop, cut (from its proxies) or alone (among governors). */
+    record Struck(double at, int governor, String what) implements Seen {
+    }
+
     record Answered(double at, int proxy, long nonce, boolean refused) implements Seen {
     }
 
--- a/src/main/java/sprucelanding/standin/DeviceStand.java
+++ b/src/main/java/sprucelanding/standin/DeviceStand.java
@@ -232,6 +232,7 @@
         private int rejects;
         private long edits;
         private int editLines;
+        private String voice = "";
 
         Connection(Loop loop, int port, Tables<InetSocketAddress> tables, LoadPeer loads, Heard heard) {
             this.loop = loop;
@@ -412,6 +413,7 @@
                 }
                 String id = root.attributes.getOrDefault("message-id", "");
                 Elem op = root.children.get(0);
+                voice = root.attributes.getOrDefault("voice", "");
                 String reply = answer(op);
                 if (mute > 0) {
                     mute--;
@@ -485,7 +487,7 @@
             editLines = 0;
             if (rejects > 0) {
                 rejects--;
-                heard.rejected("edit", edits);
+                heard.rejected("edit", edits, voice);
                 heard.answered(edits, true);
                 return error("invalid-value", "rejected by script");
             }
@@ -507,7 +509,7 @@
                     boolean removes = "remove".equals(line.attributes.get("operation"));
                     if (!removes && replica == forbidden) {
                         candidate = before; // :rollback-on-error
-                        heard.rejected("edit", edits);
+                        heard.rejected("edit", edits, voice);
                         heard.answered(edits, true);
                         return error("invalid-value", "<error-path>/routing/table[number='" + t + "']/line[replica='"
                                 + replica + "']</error-path>", "not this one");
@@ -569,7 +571,7 @@
                 endTrial();
             }
             apply();
-            heard.applied("edit", edits, editLines);
+            heard.applied("edit", edits, editLines, voice);
             return "<ok/>";
         }
 
--- a/src/main/java/sprucelanding/standin/ProxyStand.java
+++ b/src/main/java/sprucelanding/standin/ProxyStand.java
@@ -394,7 +394,7 @@
         Door to = doors.get(door % doors.size());
         int dial = dials;
         Side.Heard heard = new Side.Heard() {
-            private void message(String type, long nonce, int lines) {
+            private void message(String type, long nonce, int lines, String voice) {
                 double now = Loop.now();
                 if (!joined) {
                     joined = true;
@@ -402,19 +402,19 @@
                 }
                 messages++;
                 tape.saw(new Seen.Message(now, number, to.governor, device == null ? "xds" : "netconf",
-                        type.substring(type.lastIndexOf('.') + 1), nonce, lines));
+                        type.substring(type.lastIndexOf('.') + 1), nonce, lines, voice));
             }
 
             @Override
-            public void applied(String type, long nonce, int lines) {
-                message(type, nonce, lines);
+            public void applied(String type, long nonce, int lines, String voice) {
+                message(type, nonce, lines, voice);
                 picks();
             }
 
             @Override
-            public void rejected(String type, long nonce) {
+            public void rejected(String type, long nonce, String voice) {
                 rejects = Math.max(0, rejects - 1);
-                message(type, nonce, 0);
+                message(type, nonce, 0, voice);
             }
 
             @Override
--- a/src/main/java/sprucelanding/standin/Side.java
+++ b/src/main/java/sprucelanding/standin/Side.java
@@ -4,10 +4,10 @@
 interface Side {
     /** What the proxy hears of it. */
     interface Heard {
-        /** A message was put into force. */
-        void applied(String kind, long nonce, int lines);
+        /** A message was put into force; voice is who wrote it, by its own word. */
+        void applied(String kind, long nonce, int lines, String voice);
 
-        void rejected(String kind, long nonce);
+        void rejected(String kind, long nonce, String voice);
 
         void broke(String why);
 
--- a/src/main/java/sprucelanding/standin/XdsPeer.java
+++ b/src/main/java/sprucelanding/standin/XdsPeer.java
@@ -235,9 +235,10 @@
     private void delta(DeltaDiscoveryResponse r) {
         String type = r.getTypeUrl();
         long nonce = Long.parseLong(r.getNonce());
+        String voice = r.getControlPlane().getIdentifier();
         if (rejects > 0 && r.getResourcesCount() > 0) {
             rejects--;
-            heard.rejected(type, nonce);
+            heard.rejected(type, nonce, voice);
             answer(() -> delta.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(type)
                     .setResponseNonce(r.getNonce()).setErrorDetail(com.google.rpc.Status.newBuilder().setCode(3)
                             .setMessage("rejected by script")).build()), nonce, true);
@@ -263,7 +264,7 @@
                 tables.clusters.values().forEach(all -> all.remove(name));
             }
         }
-        heard.applied(type, nonce, r.getResourcesCount() + r.getRemovedResourcesCount());
+        heard.applied(type, nonce, r.getResourcesCount() + r.getRemovedResourcesCount(), voice);
         answer(() -> delta.onNext(DeltaDiscoveryRequest.newBuilder().setTypeUrl(type)
                 .setResponseNonce(r.getNonce()).build()), nonce, false);
         ask(EDS, endpoints, noEndpoints);
@@ -345,9 +346,10 @@
     private void state(DiscoveryResponse r) {
         String type = r.getTypeUrl();
         long nonce = Long.parseLong(r.getNonce());
+        String voice = r.getControlPlane().getIdentifier();
         if (rejects > 0) {
             rejects--;
-            heard.rejected(type, nonce);
+            heard.rejected(type, nonce, voice);
             answer(() -> request(type, accepted.getOrDefault(type, ""), r.getNonce(), "rejected by script"), nonce, true);
             return;
         }
@@ -376,7 +378,7 @@
         }
         accepted.put(type, r.getVersionInfo());
         tables.versions.put("accepted " + type, r.getVersionInfo());
-        heard.applied(type, nonce, Math.max(lines, r.getResourcesCount()));
+        heard.applied(type, nonce, Math.max(lines, r.getResourcesCount()), voice);
         answer(() -> request(type, r.getVersionInfo(), r.getNonce(), null), nonce, false);
         if (type.equals(CDS)) {
             request(EDS, accepted.getOrDefault(EDS, ""), "", null);
--- a/src/main/java/sprucelanding/station/Parts.java
+++ b/src/main/java/sprucelanding/station/Parts.java
@@ -2,6 +2,8 @@
 
 import java.util.BitSet;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import sprucelanding.Choice;
 import sprucelanding.Product;
 import sprucelanding.core.Ear;
@@ -9,6 +11,11 @@
 import sprucelanding.core.Round;
 import sprucelanding.delivery.Admission;
 import sprucelanding.delivery.Delivery;
+import sprucelanding.fleet.Leases;
+import sprucelanding.fleet.Peers;
+import sprucelanding.fleet.Recall;
+import sprucelanding.fleet.Share;
+import sprucelanding.fleet.Sharing;
 import sprucelanding.intake.Intake;
 
 /** A governor's parts as a station sets them up: the same for the service, a capture and the emulator. */
@@ -48,6 +55,37 @@
                 new Intake(s.products().size(), s.reports().every(), s.reports().lines()));
     }
 
+    /**
+     * Its part in a shared fleet; null if it is alone.
+     *
+     * @param life ms since 1970 at its start, and above any epoch that it heard of before
+     * @param now ms on the host's clock
+     */
+    public static Sharing sharing(Station s, long life, double now) {
+        Station.Peers p = s.peers();
+        if (p.others().isEmpty()) {
+            return null;
+        }
+        int all = p.others().size() + 1;
+        Set<Integer> numbers = new TreeSet<>(Set.of(p.number()));
+        p.others().forEach(o -> numbers.add(o.number()));
+        for (int i = 0; i < all; i++) {
+            if (!numbers.contains(i)) {
+                throw new IllegalArgumentException("peers: " + all + " governors with the numbers " + numbers
+                        + "; expected each from 0 to " + (all - 1) + " once");
+            }
+        }
+        Leases leases = new Leases(p.number(), life, all, p.lease(), DRIFT, p.lease() * (1 + DRIFT), now);
+        return new Sharing(p.number(),
+                new Peers(p.number(), life, numbers, p.lease() / BEATS, p.lease() / SILENCES, p.lease() / SILENCES), leases,
+                new Share(p.number(), leases, p.room(), p.number() % s.zones().size(), now),
+                new Recall(p.number(), life, s.reports().every(), 1.5 * s.reports().every(), p.hints(), now));
+    }
+
+    private static final double DRIFT = 0.02; // of two clocks' paces, at the most
+    private static final double BEATS = 15; // within a lease
+    private static final double SILENCES = 3; // within a lease, until one is suspected, and dead
+
     static BitSet positions(List<String> names, List<String> known, String field) {
         BitSet set = new BitSet();
         for (String name : names) {
--- a/src/main/java/sprucelanding/station/Station.java
+++ b/src/main/java/sprucelanding/station/Station.java
@@ -40,7 +40,10 @@
     public record Captured(String file, int most, int waits) {
     }
 
-    public record Peers(String at, List<String> others) {
+    public record Peers(int number, String at, List<Peer> others, String key, String keep, double lease, int room, boolean hints) {
+    }
+
+    public record Peer(int number, String at) {
     }
 
     /** Reads a station's text with another laid over it, whose fields take the place of its own; null for none. */
--- a/src/main/java/sprucelanding/xds/DeltaStream.java
+++ b/src/main/java/sprucelanding/xds/DeltaStream.java
@@ -51,7 +51,7 @@
         DeltaDiscoveryResponse.Builder r = DeltaDiscoveryResponse.newBuilder()
                 .setTypeUrl(Words.type(message.kind)).setNonce(Long.toString(message.id))
                 .setSystemVersionInfo(Long.toString(message.id))
-                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier()));
+                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier(message.to)));
         for (Item item : message.items) {
             r.addResources(XdsFront.resource(item, true, site));
         }
--- a/src/main/java/sprucelanding/xds/StateStream.java
+++ b/src/main/java/sprucelanding/xds/StateStream.java
@@ -58,7 +58,7 @@
         newest.put(message.kind, message.id);
         DiscoveryResponse.Builder r = DiscoveryResponse.newBuilder().setTypeUrl(Words.type(message.kind))
                 .setNonce(Long.toString(message.id)).setVersionInfo(Long.toString(message.id))
-                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier()));
+                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier(message.to)));
         for (Item item : message.items) {
             r.addResources(XdsFront.resource(item, false, site).getResource());
         }
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -7,6 +7,7 @@
 import io.grpc.StatusRuntimeException;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
+import java.util.ArrayDeque;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +21,7 @@
 import sprucelanding.delivery.Name;
 import sprucelanding.governor.Core;
 import sprucelanding.governor.Site;
+import sprucelanding.loop.Loop;
 
 /**
  * One aggregated stream of a proxy, of either form. The next request is read only once the core has taken the one before,
@@ -37,6 +39,8 @@
     private volatile int number;
     private boolean begun;
     private boolean ended;
+    /** Messages that the transport has no room for; on the writing thread. Delivery bounds them. */
+    private final ArrayDeque<Message> waiting = new ArrayDeque<>();
     /** Names asked for, by kind. */
     private final Map<Kind, Set<Name>> asked = new EnumMap<>(Kind.class);
 
@@ -50,6 +54,8 @@
             if (!begun) {
                 begun = true;
                 this.out.request(1);
+            } else {
+                front.write(number, () -> writes(front.site()));
             }
         });
         for (Kind kind : Kind.values()) {
@@ -93,9 +99,12 @@
     }
 
     private void over() {
-        Holder gone = holder;
-        if (gone != null) {
+        Holder gone;
+        synchronized (asked) { // from the transport's threads, and from the writing one
+            gone = holder;
             holder = null;
+        }
+        if (gone != null) {
             taken(() -> front.core().left(gone));
         }
     }
@@ -187,22 +196,44 @@
     }
 
     /** On the writing thread; how many bytes it was. */
-    final long write(Message message, Site site) {
+    final void write(Message message, Site site) {
         if (ended || out.isCancelled()) {
-            return 0;
+            return;
         }
-        R response = response(message, site);
-        out.onNext(response);
-        return response.getSerializedSize();
+        waiting.add(message);
+        writes(site);
     }
 
-    final void end(Status status) {
-        over();
-        front.write(number, () -> {
-            if (!ended) {
-                ended = true;
-                out.onError(status.asRuntimeException());
+    /**
+     * Writes what waits, as long as the transport takes it: what it has not taken yet is still looked at again before it leaves.
+     * A governor that stood still finds here that its lease has run out; nothing more leaves on this stream then.
+     */
+    private void writes(Site site) {
+        while (!waiting.isEmpty() && !ended && !out.isCancelled() && out.isReady()) {
+            Message next = waiting.poll();
+            if (!next.to.may(Loop.now())) {
+                front.lapsed(next);
+                last(Status.UNAVAILABLE.withDescription("this governor may no longer write to it"));
+                return;
             }
-        });
+            R response = response(next, site);
+            out.onNext(response);
+            front.written(next, response.getSerializedSize());
+        }
+    }
+
+    private void last(Status status) {
+        if (!ended) {
+            ended = true;
+            waiting.clear();
+            out.onError(status.asRuntimeException());
+        }
+        over(); // only now: nothing more is written on it
+    }
+
+    final void end(Status status) {
+        if (!front.write(number, () -> last(status))) {
+            over();
+        }
     }
 }
--- a/src/main/java/sprucelanding/xds/XdsFront.java
+++ b/src/main/java/sprucelanding/xds/XdsFront.java
@@ -36,6 +36,7 @@
     private static final int WINDOW = 256 * 1024;
 
     private final Core core;
+    private final Site site;
     private final String identifier;
     private final InetSocketAddress at;
     private final Server server;
@@ -51,6 +52,7 @@
      */
     public XdsFront(Core core, Site site, String identifier, InetSocketAddress at, int largest, double reports) {
         this.core = core;
+        this.site = site;
         this.identifier = identifier;
         this.at = at;
         this.server = NettyServerBuilder.forAddress(at).bossEventLoopGroup(accepting).workerEventLoopGroup(serving)
@@ -125,10 +127,6 @@
         return core;
     }
 
-    String identifier() {
-        return identifier;
-    }
-
     /** Proxies on one table hold the same lines: each is put into words once. */
     static Resource resource(Item item, boolean deltas, Site site) {
         return item.words(deltas ? 0 : 1, i -> Resource.newBuilder().setName(Words.name(i.name()))
@@ -138,10 +136,7 @@
     @Override
     public void send(Message message, Site site) {
         Stream<?, ?> stream = (Stream<?, ?>) message.to.stream;
-        boolean taken = write(message.to.id, () -> {
-            long bytes = stream.write(message, site);
-            core.written(this, message, Loop.now(), bytes);
-        });
+        boolean taken = write(message.to.id, () -> stream.write(message, site));
         if (!taken) { // it cannot be left out: the proxy dials again and is laid from what it holds
             LOG.atWarn().setMessage("too many messages wait to be written").addKeyValue("proxy", message.to.id).log();
             core.left(message.to);
@@ -153,6 +148,24 @@
         ((Stream<?, ?>) holder.stream).end((busy ? Status.UNAVAILABLE : Status.ABORTED).withDescription(why));
     }
 
+    void written(Message message, long bytes) {
+        core.written(this, message, Loop.now(), bytes);
+    }
+
+    void lapsed(Message message) {
+        LOG.atWarn().setMessage("a message is not written: the lease has run out").addKeyValue("proxy", message.to.id)
+                .addKeyValue("epoch", message.to.epoch()).addKeyValue("age", Loop.now() - message.sentAt).log();
+    }
+
+    Site site() {
+        return site;
+    }
+
+    /** This governor as a proxy is told: with the epoch under which it writes, where governors share the fleet. */
+    String identifier(Holder to) {
+        return to.epoch() == 0 ? identifier : identifier + "#" + to.epoch();
+    }
+
     void refused(Holder holder, Status status) {
         LOG.atWarn().setMessage("a stream is refused").addKeyValue("proxy", holder == null ? -1 : holder.id)
                 .addKeyValue("code", status.getCode()).addKeyValue("why", status.getDescription()).setCause(status.getCause()).log();
--- a/src/main/resources/sprucelanding/day/day.cue
+++ b/src/main/resources/sprucelanding/day/day.cue
@@ -26,7 +26,8 @@
 	lasts: time & >=0 | *0s
 	what: "crash" | "hang" | "slow" | "errors" | "pauses" | "neighbour" | "flapping" | "ageing" | "connections" |
 		"oneSided" | "wrongList" | "lateList" | "listGone" | "zoneCut" | "zoneLoss" | "burst" | "shrink" |
-		"proxyCrash" | "governorCrash" | "governorPause" | "governorStall" | "alone" |
+		"proxyCrash" | "governorCrash" | "governorPause" | "governorStall" | "governorStop" | "governorCut" |
+		"peersCut" | "peersLose" | "alone" |
 		"lockHeld" | "mute" | "drift" | "midUpdate" | "lateAck" | "reject" | "readsNothing"
 	part: share & >0 & <=1 | *10%
 	size: number & >=0 | *1
@@ -47,7 +48,7 @@
 		connections: int & >=1 | *400
 	}
 	proxies: {
-		count: int & >=1 & <=400
+		count: int & >=1 & <=4000
 		standing: int & >=1 | *6
 		devices: share | *0% // take NETCONF edits, the others speak xDS
 		stateOfTheWorld: share | *25% // the others take changes
@@ -56,12 +57,24 @@
 		ejectsFor: time | *4s
 	}
 	governors: {
-		count: int & >=0 & <=8
+		count: int & >=0 & <=32
 		lines: rate & >0 | *6000/s
 		head: number | *6
 		most: int | *9000
 		messages: int | *0
 		span: time | *10s
+		shared: bool | *false // they share the fleet, and take over from one another
+		lease: time & >=300 | *1500ms
+		room: int & >=1 | *64
+		hints: bool | *false
+	}
+	// Troubles drawn by the seed, one after the other, until a time.
+	random?: {
+		every: time & >=100
+		from: time | *5s
+		until: time
+		lasts: time & >0 // half of it to one and a half
+		what: [...string]
 	}
 	txns: rate & >0 // in all
 	clients: {
--- a/src/main/resources/sprucelanding/station/station.cue
+++ b/src/main/resources/sprucelanding/station/station.cue
@@ -12,6 +12,11 @@
 	homeOnly: bool | *false // only replicas of the proxy's own zone
 }
 
+#Peer: {
+	number: int & >=0 & <=31
+	at: #Address
+}
+
 #Station: {
 	name: string
 	seed: int | *1
@@ -72,8 +77,14 @@
 		most: int & >=1 & <=100000 | *2048 // MiB, past which it ends
 		waits: int & >=2 | *64 // blocks of 64 KiB that may wait for the disk, before some are dropped
 	}
-	peers: {
-		at?: #Address
-		others: [...#Address]
+	peers: { // the governors that share the fleet; without others it has the fleet alone
+		number: int & >=0 & <=31 | *0 // its own among all, which are numbered from 0
+		at?: #Address // where it hears the others, by datagrams
+		others: [...#Peer]
+		key?: string // file of the keys that all share, mode 600
+		keep?: string // file for the highest epoch, which must outlive it
+		lease: time & >=300 & <=10000 | *1500ms // for which a majority lets it write
+		room: int & >=1 | *64 // proxies that it is made for
+		hints: bool | *false // what others' proxies met is taken in all along
 	}
 }
--- a/src/test/java/sprucelanding/fleet/PacketsTest.java
+++ b/src/test/java/sprucelanding/fleet/PacketsTest.java
@@ -13,7 +13,7 @@
 
 /** What governors take from a wire that anybody may write to. */
 class PacketsTest {
-    private final Packets packets = new Packets("sixteen bytes at least".getBytes());
+    private final Packets packets = new Packets(List.of("sixteen bytes at least".getBytes()));
     private final Leases.Ask ask = new Leases.Ask(3, 1_700_000_000_123L, 4, 12.5,
             new Leases.Load(7, 64, 1), List.of(new Leases.Claim(7, 99)));
 
@@ -39,7 +39,7 @@
             flipped[i] ^= 1;
             assertThrows(Packets.Refused.class, () -> packets.take(flipped));
         }
-        byte[] foreign = new Packets("another key, as long".getBytes()).put(ask);
+        byte[] foreign = new Packets(List.of("another key, as long".getBytes())).put(ask);
         assertThrows(Packets.Refused.class, () -> packets.take(foreign));
         assertTrue(assertThrows(Packets.Refused.class, () -> packets.take(new byte[1401])).getMessage().contains("1401"));
     }
--- a/src/test/java/sprucelanding/rig/Rig.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -66,7 +66,7 @@
         choice.reports(true, 500);
         governor = new Governor(new Governor.Names(List.of("read"), ZONES, List.of("usual")),
                 new Governor.Listing(new InetSocketAddress("127.0.0.1", rosterPort), null, true, null),
-                new Governor.Probing(true, 400), false, host -> new Round(host, choice, new Straight(choice), Ear.NONE, ZONES,
+                new Governor.Probing(true, 400), false, null, host -> new Round(host, choice, new Straight(choice), Ear.NONE, ZONES,
                         List.of("usual"), true, System.currentTimeMillis() - Loop.now(),
                         new Delivery(0, 10_000, 1000, 20_000, 10_000), new Admission(atOnce, 1000, 20_000),
                         new Intake(1, 500, 10_000)));
--- a/src/test/java/sprucelanding/rules/JudgeTest.java
+++ b/src/test/java/sprucelanding/rules/JudgeTest.java
@@ -127,14 +127,14 @@
     @Test
     void tooManyLinesForTheChannelOrMessagesToOneProxy() {
         joined(0);
-        tape.add(new Seen.Message(100, 7, 0, "xds", "LbEndpoint", 1, 90));
-        tape.add(new Seen.Message(5100, 7, 0, "xds", "LbEndpoint", 2, 40));
+        tape.add(new Seen.Message(100, 7, 0, "xds", "LbEndpoint", 1, 90, ""));
+        tape.add(new Seen.Message(5100, 7, 0, "xds", "LbEndpoint", 2, 40, ""));
         broken(-1);
-        tape.add(new Seen.Message(5200, 7, 0, "xds", "LbEndpoint", 3, 60));
+        tape.add(new Seen.Message(5200, 7, 0, "xds", "LbEndpoint", 3, 60, ""));
         broken(4);
         tape.removeIf(s -> s instanceof Seen.Message);
         for (int i = 0; i < 6; i++) {
-            tape.add(new Seen.Message(100 + i * 1000, 7, 0, "xds", "LbEndpoint", i, 1));
+            tape.add(new Seen.Message(100 + i * 1000, 7, 0, "xds", "LbEndpoint", i, 1, ""));
         }
         broken(4);
     }
