The lease protocol checked as a model; the gate before writes, peers' packets and handovers caused in stories

Need: proof beyond random histories, and each hard case of a handover caused over real sockets.

Change: an Alloy 6 model of the promises (3 governors, 3 asks, 6 to 7 steps) with four broken variants that must be refuted; mailbox, names and leases of holders under Lincheck, which are now classes of their own (a step handed to a loop that closes is never lost, a lease is read with its epoch as one).

--- a/src/main/java/sprucelanding/core/Shared.java
+++ b/src/main/java/sprucelanding/core/Shared.java
@@ -92,7 +92,7 @@
         sharing.clock(host.now());
         for (Caller c : callers.values()) {
             if (c.may) {
-                c.holder.leased(sharing.until(c.key), c.holder.epoch());
+                c.holder.leased(sharing.until(c.key), c.holder.lease().epoch());
             }
         }
         host.at(host.now() + TICK, this::tick);
@@ -120,7 +120,7 @@
     private void over(Caller c) {
         c.may = false;
         c.held.clear();
-        c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.epoch());
+        c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.lease().epoch());
         if (c.in) {
             c.in = false;
             round.left(c.holder);
@@ -228,7 +228,7 @@
             Caller c = callers.get(proxy);
             if (c != null) {
                 c.may = false;
-                c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.epoch());
+                c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.lease().epoch());
                 lapsed++;
             }
         }
@@ -273,7 +273,7 @@
         if (c == null || c.holder != message.to || c.ended) {
             return; // of a former stream
         }
-        if (c.may && message.to.may(host.now()) && c.held.isEmpty()) {
+        if (c.may && message.to.lease().holds(host.now()) && c.held.isEmpty()) {
             host.send(way, message);
         } else if (c.held.size() < MOST_HELD) {
             c.held.add(message);
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -43,8 +43,7 @@
     boolean gone;
     /** After a refusal, at most so many names go in one message until one gets through. */
     int atMost = Integer.MAX_VALUE;
-    private volatile double until = Double.POSITIVE_INFINITY;
-    private volatile long epoch;
+    private volatile Lease lease = new Lease(Double.POSITIVE_INFINITY, 0);
 
     /** How a proxy takes what it is sent. */
     public enum Form {
@@ -71,17 +70,22 @@
      * calls this: it may, under epoch 0.
      */
     public void leased(double until, long epoch) {
-        this.until = until;
-        this.epoch = epoch;
+        lease = new Lease(until, epoch);
     }
 
-    /** To be asked right before each write, by whatever thread writes: a governor that stood still may own the proxy no longer. */
-    public boolean may(double now) {
-        return now < until;
+    /**
+     * To be asked right before each write, by whatever thread writes: a governor that stood still may own the proxy no longer.
+     * What is written then goes under the epoch of this very answer.
+     */
+    public Lease lease() {
+        return lease;
     }
 
-    public long epoch() {
-        return epoch;
+    /** Until when a write may leave, ms on the own clock, and under which epoch. */
+    public record Lease(double until, long epoch) {
+        public boolean holds(double now) {
+            return now < until;
+        }
     }
 
     /** Whether a name was acknowledged, by this version or another. */
--- a/src/main/java/sprucelanding/emulator/Office.java
+++ b/src/main/java/sprucelanding/emulator/Office.java
@@ -188,7 +188,7 @@
 
     /** Looked at right before a write, as the fronts do; a governor that may not write any more ends the stream. */
     boolean mayWrite(Message m) {
-        if (m.to.may(now()) && !paused) {
+        if (m.to.lease().holds(now()) && !paused) {
             return true;
         }
         if (!paused) {
@@ -198,7 +198,7 @@
     }
 
     String voice(Holder to) {
-        return station.name() + (to.epoch() == 0 ? "" : "#" + to.epoch());
+        return station.name() + (to.lease().epoch() == 0 ? "" : "#" + to.lease().epoch());
     }
 
     void breaksAfter(int zone, int bytes) {
--- a/src/main/java/sprucelanding/governor/Governor.java
+++ b/src/main/java/sprucelanding/governor/Governor.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -59,9 +58,7 @@
     private final List<Front> fronts = new ArrayList<>();
     private final Fellows fellows;
     private PeerLink peers;
-    private final Map<String, Integer> numbers = new ConcurrentHashMap<>();
-    private final Map<Integer, String> proxies = new ConcurrentHashMap<>();
-    private final AtomicInteger nextNumber = new AtomicInteger();
+    private final Numbers numbers = new Numbers(PROXIES);
     private final Map<Long, Entry> replicas = new ConcurrentHashMap<>();
     private final Map<String, Long> ids = new ConcurrentHashMap<>();
     private final Map<Front, Tally> tallies = new LinkedHashMap<>();
@@ -140,7 +137,7 @@
 
     @Override
     public boolean dialled(Front front, Holder holder, String zone, double usual, boolean bare) {
-        return loop.hand(() -> shared.dialled(front, holder, proxies.getOrDefault(holder.id, ""), zone, usual, bare));
+        return loop.hand(() -> shared.dialled(front, holder, numbers.name(holder.id), zone, usual, bare));
     }
 
     @Override
@@ -175,14 +172,7 @@
 
     @Override
     public int number(String proxy) {
-        return numbers.computeIfAbsent(proxy, p -> {
-            int next = nextNumber.getAndIncrement();
-            if (next >= PROXIES) {
-                return -1;
-            }
-            proxies.put(next, p);
-            return next;
-        });
+        return numbers.of(proxy);
     }
 
     @Override
--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -12,7 +12,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.PriorityQueue;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -57,7 +56,7 @@
     private final String name;
     private final Selector selector;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
-    private final ArrayBlockingQueue<Runnable> mailbox = new ArrayBlockingQueue<>(MAILBOX);
+    private final Mailbox<Runnable> mailbox = new Mailbox<>(MAILBOX);
     private long order;
     private volatile boolean closed;
     private volatile Thread thread;
@@ -111,7 +110,7 @@
 
     /** From other threads; false if the mailbox is full or the loop has ended: then nothing was taken. */
     public boolean hand(Runnable what) {
-        if (closed || !mailbox.offer(what)) {
+        if (!mailbox.offer(what)) {
             return false;
         }
         if (Thread.currentThread() != thread) {
@@ -276,6 +275,7 @@
 
     @Override
     public void close() {
+        mailbox.close();
         closed = true;
         selector.wakeup();
         Thread running = thread;
--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -244,9 +244,10 @@
 
     @Override
     public void ask(Edits.Op op, Message edit, double waits) {
-        if ((op == Edits.Op.EDIT || op == Edits.Op.TRY_COMMIT || op == Edits.Op.COMMIT) && !holder.may(Loop.now())) {
+        Holder.Lease lease = holder.lease();
+        if ((op == Edits.Op.EDIT || op == Edits.Op.TRY_COMMIT || op == Edits.Op.COMMIT) && !lease.holds(Loop.now())) {
             // A governor that stood still: what it may no longer write is not written. The device dials anew.
-            log("an edit is not written: the lease has run out").addKeyValue("epoch", holder.epoch()).log();
+            log("an edit is not written: the lease has run out").addKeyValue("epoch", lease.epoch()).log();
             Line dead = line;
             front.loop().in(0, () -> {
                 if (line == dead) {
@@ -265,7 +266,7 @@
         String rpc;
         try {
             rpc = Words.rpc(id, op, edit, can, front.confirms(), front.identifier() + "-" + number + "-" + trial,
-                    holder.epoch() == 0 ? "" : front.identifier() + "#" + holder.epoch(), site);
+                    lease.epoch() == 0 ? "" : front.identifier() + "#" + lease.epoch(), site);
         } catch (IllegalStateException e) {
             asked = null;
             front.loop().in(0, () -> {
--- a/src/main/java/sprucelanding/xds/StateStream.java
+++ b/src/main/java/sprucelanding/xds/StateStream.java
@@ -54,11 +54,11 @@
     }
 
     @Override
-    DiscoveryResponse response(Message message, Site site) {
+    DiscoveryResponse response(Message message, long epoch, Site site) {
         newest.put(message.kind, message.id);
         DiscoveryResponse.Builder r = DiscoveryResponse.newBuilder().setTypeUrl(Words.type(message.kind))
                 .setNonce(Long.toString(message.id)).setVersionInfo(Long.toString(message.id))
-                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier(message.to)));
+                .setControlPlane(ControlPlane.newBuilder().setIdentifier(front.identifier(epoch)));
         for (Item item : message.items) {
             r.addResources(XdsFront.resource(item, false, site).getResource());
         }
--- a/src/main/java/sprucelanding/xds/Stream.java
+++ b/src/main/java/sprucelanding/xds/Stream.java
@@ -66,7 +66,7 @@
     /** Reads one request; a StatusRuntimeException ends the stream. */
     abstract void request(Q request);
 
-    abstract R response(Message message, Site site);
+    abstract R response(Message message, long epoch, Site site);
 
     @Override
     public void onNext(Q request) {
@@ -211,12 +211,13 @@
     private void writes(Site site) {
         while (!waiting.isEmpty() && !ended && !out.isCancelled() && out.isReady()) {
             Message next = waiting.poll();
-            if (!next.to.may(Loop.now())) {
+            Holder.Lease lease = next.to.lease();
+            if (!lease.holds(Loop.now())) {
                 front.lapsed(next);
                 last(Status.UNAVAILABLE.withDescription("this governor may no longer write to it"));
                 return;
             }
-            R response = response(next, site);
+            R response = response(next, lease.epoch(), site);
             out.onNext(response);
             front.written(next, response.getSerializedSize());
         }
--- a/src/main/java/sprucelanding/xds/XdsFront.java
+++ b/src/main/java/sprucelanding/xds/XdsFront.java
@@ -154,7 +154,7 @@
 
     void lapsed(Message message) {
         LOG.atWarn().setMessage("a message is not written: the lease has run out").addKeyValue("proxy", message.to.id)
-                .addKeyValue("epoch", message.to.epoch()).addKeyValue("age", Loop.now() - message.sentAt).log();
+                .addKeyValue("epoch", message.to.lease().epoch()).addKeyValue("age", Loop.now() - message.sentAt).log();
     }
 
     Site site() {
@@ -162,8 +162,8 @@
     }
 
     /** This governor as a proxy is told: with the epoch under which it writes, where governors share the fleet. */
-    String identifier(Holder to) {
-        return to.epoch() == 0 ? identifier : identifier + "#" + to.epoch();
+    String identifier(long epoch) {
+        return epoch == 0 ? identifier : identifier + "#" + epoch;
     }
 
     void refused(Holder holder, Status status) {
--- a/src/test/java/sprucelanding/delivery/Edit.java
+++ b/src/test/java/sprucelanding/delivery/Edit.java
@@ -14,4 +14,10 @@
                 Integer.parseInt(e.getValue().substring(1)), e.getValue().startsWith("d"))).toList();
         return new Message(id, null, null, false, items, gone.stream().map(r -> Name.line(0, r)).toList(), 0, Map.of());
     }
+
+    /** A message that makes table 0 at a proxy. */
+    public static Message table(long id, Holder to) {
+        return new Message(id, to, Kind.CLUSTER, false, List.of(new Item(Name.cluster(0), "1", List.of(), List.of())), List.of(), 0,
+                Map.of());
+    }
 }
--- /dev/null
+++ b/src/test/java/sprucelanding/fleet/ModelTest.java
@@ -0,0 +1,39 @@
+package sprucelanding.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import edu.mit.csail.sdg.alloy4.A4Reporter;
+import edu.mit.csail.sdg.ast.Command;
+import edu.mit.csail.sdg.ast.Module;
+import edu.mit.csail.sdg.parser.CompUtil;
+import edu.mit.csail.sdg.translator.A4Options;
+import edu.mit.csail.sdg.translator.TranslateAlloyToKodkod;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+/** The promises of Leases as a model: within its bounds nothing refutes what is claimed, and each broken variant is refuted. */
+class ModelTest {
+    @Test
+    void noTwoVoicesNoEpochBackAndEachBrokenVariantIsRefuted() throws Exception {
+        ((ch.qos.logback.classic.Logger) LoggerFactory.getLogger("kodkod")).setLevel(ch.qos.logback.classic.Level.ERROR);
+        Path model = Files.createTempFile("leases", ".als");
+        try (var in = ModelTest.class.getResourceAsStream("leases.als")) {
+            Files.write(model, in.readAllBytes());
+        }
+        int commands = CompUtil.parseEverything_fromFile(A4Reporter.NOP, null, model.toString()).getAllCommands().size();
+        List<String> found = IntStream.range(0, commands).parallel().mapToObj(i -> {
+            Module world = CompUtil.parseEverything_fromFile(A4Reporter.NOP, null, model.toString());
+            Command c = world.getAllCommands().get(i);
+            return c.label + (TranslateAlloyToKodkod.execute_command(A4Reporter.NOP, world.getAllReachableSigs(), c,
+                    new A4Options()).satisfiable() ? ": an instance" : ": none");
+        }).toList();
+        Files.delete(model);
+        assertEquals(List.of("oneVoice: none", "neverBack: none", "ownedAgain: none", "reaches: an instance",
+                "withoutQuarantine: an instance", "withoutOrderOfClocks: an instance", "withoutEpochs: an instance",
+                "withoutMajority: an instance"), found);
+    }
+}
--- a/src/test/java/sprucelanding/rig/Rig.java
+++ b/src/test/java/sprucelanding/rig/Rig.java
@@ -49,6 +49,11 @@
 
     /** With devices' own keys and pins, a NETCONF front as well; else null. */
     public Rig(int count, int atOnce, Keys keys) throws Exception {
+        this(count, atOnce, keys, null);
+    }
+
+    /** With fellows it is one of several governors. */
+    public Rig(int count, int atOnce, Keys keys, Governor.Fellows fellows) throws Exception {
         int rosterPort = Ports.free();
         roster = new RosterStand(loop, new InetSocketAddress("127.0.0.1", rosterPort), ZONES, List.of("usual"), tape);
         for (int i = 0; i < count; i++) {
@@ -66,7 +71,7 @@
         choice.reports(true, 500);
         governor = new Governor(new Governor.Names(List.of("read"), ZONES, List.of("usual")),
                 new Governor.Listing(new InetSocketAddress("127.0.0.1", rosterPort), null, true, null),
-                new Governor.Probing(true, 400), false, null, host -> new Round(host, choice, new Straight(choice), Ear.NONE, ZONES,
+                new Governor.Probing(true, 400), false, fellows, host -> new Round(host, choice, new Straight(choice), Ear.NONE, ZONES,
                         List.of("usual"), true, System.currentTimeMillis() - Loop.now(),
                         new Delivery(0, 10_000, 1000, 20_000, 10_000), new Admission(atOnce, 1000, 20_000),
                         new Intake(1, 500, 10_000)));
