Records in several files: packages, imports, comprehensions; records check, show, diff and fmt

Change: a folder is one package whose files are made one, with both places in a conflict; imports from below the config folder only, not in circles; for and if in lists, values put into strings; all bounded. show tells each value with its place, diff compares what files come to, fmt gives one look and keeps comments. Comments are tokens of a channel of their own.

--- a/src/main/java/sprucelanding/records/Reader.java
+++ b/src/main/java/sprucelanding/records/Reader.java
@@ -1,9 +1,15 @@
 package sprucelanding.records;
 
+import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.antlr.v4.runtime.BaseErrorListener;
 import org.antlr.v4.runtime.CharStreams;
 import org.antlr.v4.runtime.CommonTokenStream;
@@ -11,62 +17,137 @@
 import org.antlr.v4.runtime.RecognitionException;
 import org.antlr.v4.runtime.Recognizer;
 import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.tree.TerminalNode;
 
-/** Reads text into values; references are followed as they are met, definitions and fields of the file's top first. */
+/**
+ * Reads the files of a package into values. References are followed as they are met: loop variables first, then definitions and fields
+ * of the package's top, given in whichever of its files, then imported packages.
+ */
 final class Reader {
+    /** A text, by the name that faults in it are told by. */
+    record Source(String name, String text) {
+    }
+
+    /** Reads a package that another imports, by its folder below the config folder; it throws IOException if it may not or cannot. */
+    interface Library {
+        List<Source> of(String folder) throws IOException;
+
+        Library NONE = folder -> {
+            throw new IOException("nothing can be imported here");
+        };
+    }
+
     private static final int DEPTH = 64;
-    private static final int SIZE = 1 << 20;
-    private final String file;
+    private static final int SIZE = 16 << 20;
+    private static final int MOST_ITEMS = 1_000_000; // that comprehensions of a package may make
+    private static final int IMPORTS = 8; // one within another
     private final List<String> faults;
-    private final Map<String, RecordsParser.FieldContext> tops = new LinkedHashMap<>();
+    private final Library library;
+    private final Map<String, List<RecordsParser.FieldContext>> tops = new LinkedHashMap<>();
     private final Map<String, Value> known;
-    private final List<String> following = new ArrayList<>();
+    private final Map<String, Value> imported = new HashMap<>();
+    private final Map<String, Value> scope = new HashMap<>();
+    private final Set<String> following = new LinkedHashSet<>();
+    private final List<String> importing;
     private int depth;
+    private int items;
+
+    /** @param known definitions that other packages gave, to which this one's are added */
+    Reader(Map<String, Value> known, Library library, List<String> faults) {
+        this(known, library, List.of(), faults);
+    }
 
-    /** @param known definitions that other files gave, to which this file's are added */
-    Reader(String file, Map<String, Value> known, List<String> faults) {
-        this.file = file;
+    private Reader(Map<String, Value> known, Library library, List<String> importing, List<String> faults) {
         this.known = known;
+        this.library = library;
+        this.importing = importing;
         this.faults = faults;
     }
 
-    /** The file's fields as a record; definitions are left in known. */
-    Value.Rec read(String text) {
-        Value.Rec top = new Value.Rec(new Place(file, 1, 1), false);
-        if (text.length() > SIZE || nesting(text) > DEPTH) {
-            faults.add(file + ":1:1: more than " + SIZE + " characters, or " + DEPTH + " levels");
+    /** The package's fields as a record; definitions are left in known. */
+    Value.Rec read(List<Source> sources) {
+        Value.Rec top = new Value.Rec(new Place(sources.isEmpty() ? "" : sources.get(0).name, 1, 1), false);
+        List<RecordsParser.FileContext> trees = new ArrayList<>();
+        for (Source each : sources) {
+            RecordsParser.FileContext tree = tree(each, faults);
+            if (tree != null) {
+                trees.add(tree);
+            }
+        }
+        if (!faults.isEmpty()) {
             return top;
         }
+        RecordsParser.FileContext first = null;
+        for (RecordsParser.FileContext tree : trees) {
+            if (first != null && tree.label != null && first.label != null && !tree.label.getText().equals(first.label.getText())) {
+                faults.add(place(tree) + ": package " + tree.label.getText() + ", but " + first.label.getText() + " ("
+                        + place(first) + ")");
+            }
+            first = first == null && tree.label != null ? tree : first;
+            tree.imports().forEach(this::imports);
+            for (RecordsParser.FieldContext f : tree.field()) {
+                List<RecordsParser.FieldContext> all = tops.computeIfAbsent(label(f), x -> new ArrayList<>());
+                if (!all.isEmpty() && label(f).startsWith("#")) {
+                    faults.add(place(f) + ": " + label(f) + " is defined twice (" + place(all.get(0)) + ")");
+                }
+                all.add(f);
+            }
+        }
+        for (RecordsParser.FileContext tree : trees) {
+            for (RecordsParser.FieldContext f : tree.field()) {
+                if (label(f).startsWith("#")) {
+                    definition(label(f), place(f));
+                } else {
+                    put(top, f);
+                }
+            }
+        }
+        return top;
+    }
+
+    /** Null if the text cannot be read at all; its faults are added. */
+    static RecordsParser.FileContext tree(Source source, List<String> faults) {
+        if (source.text.length() > SIZE || nesting(source.text) > DEPTH) {
+            faults.add(source.name + ":1:1: more than " + SIZE + " characters, or " + DEPTH + " levels");
+            return null;
+        }
         BaseErrorListener says = new BaseErrorListener() {
             @Override
             public void syntaxError(Recognizer<?, ?> r, Object symbol, int line, int column, String message,
                     RecognitionException e) {
-                faults.add(file + ":" + line + ":" + (column + 1) + ": " + message);
+                if (faults.size() < MOST_FAULTS) {
+                    faults.add(source.name + ":" + line + ":" + (column + 1) + ": " + message);
+                }
             }
         };
-        RecordsLexer lexer = new RecordsLexer(CharStreams.fromString(text, file));
+        RecordsLexer lexer = new RecordsLexer(CharStreams.fromString(source.text, source.name));
         lexer.removeErrorListeners();
         lexer.addErrorListener(says);
         RecordsParser parser = new RecordsParser(new CommonTokenStream(lexer));
         parser.removeErrorListeners();
         parser.addErrorListener(says);
-        RecordsParser.FileContext tree = parser.file();
-        if (!faults.isEmpty()) {
-            return top;
+        return parser.file();
+    }
+
+    private static final int MOST_FAULTS = 200;
+
+    private void imports(RecordsParser.ImportsContext i) {
+        String folder = unquoted(i.STRING().getText());
+        String name = folder.substring(folder.lastIndexOf('/') + 1);
+        if (importing.contains(folder) || importing.size() >= IMPORTS) {
+            faults.add(place(i) + ": " + folder + " is imported by what it imports, or more than " + IMPORTS + " levels deep: " + importing);
+            return;
         }
-        for (RecordsParser.FieldContext f : tree.field()) {
-            if (tops.put(label(f), f) != null && label(f).startsWith("#")) {
-                faults.add(place(f) + ": " + label(f) + " is defined twice");
-            }
+        try {
+            List<String> within = new ArrayList<>(importing);
+            within.add(folder);
+            Map<String, Value> its = new HashMap<>();
+            Value.Rec fields = new Reader(its, library, within, faults).read(library.of(folder));
+            its.forEach(fields.fields::put);
+            imported.put(name, fields);
+        } catch (IOException e) {
+            faults.add(place(i) + ": import \"" + folder + "\": " + e.getMessage());
         }
-        for (RecordsParser.FieldContext f : tree.field()) {
-            if (label(f).startsWith("#")) {
-                definition(label(f), place(f));
-            } else {
-                put(top, f);
-            }
-        }
-        return top;
     }
 
     private static int nesting(String text) {
@@ -80,9 +161,9 @@
         return most;
     }
 
-    private Place place(ParserRuleContext c) {
+    private static Place place(ParserRuleContext c) {
         Token t = c.getStart();
-        return new Place(file, t.getLine(), t.getCharPositionInLine() + 1);
+        return new Place(t.getTokenSource().getSourceName(), t.getLine(), t.getCharPositionInLine() + 1);
     }
 
     private static String label(RecordsParser.FieldContext f) {
@@ -96,19 +177,23 @@
 
     private Value definition(String name, Place from) {
         Value ready = known.get(name);
-        RecordsParser.FieldContext f = tops.get(name);
-        if (ready != null || f == null) {
-            if (ready == null) {
+        List<RecordsParser.FieldContext> all = tops.get(name);
+        if (ready != null || all == null) {
+            Value far = imported.get(name);
+            if (ready == null && far == null) {
                 faults.add(from + ": " + name + " is not defined");
             }
-            return ready == null ? new Value.Rec(from, false) : ready;
+            return ready != null ? ready : far != null ? far : new Value.Rec(from, false);
         }
-        if (following.contains(name)) {
+        if (!following.add(name)) {
             faults.add(from + ": " + name + " refers to itself");
             return new Value.Rec(from, false);
         }
-        following.add(name);
-        Value made = of(f, name.startsWith("#"));
+        Value made = null;
+        for (RecordsParser.FieldContext f : all) {
+            Value next = of(f, name.startsWith("#"));
+            made = made == null ? next : new Unify(faults).meet(made, next, name);
+        }
         following.remove(name);
         if (name.startsWith("#")) {
             known.put(name, made);
@@ -170,13 +255,13 @@
             r.field().forEach(f -> put(rec, f));
             return rec;
         } else if (p instanceof RecordsParser.ListContext l) {
-            Value.Items items = new Value.Items(at);
-            l.expr().forEach(x -> items.items.add(value(x, false)));
-            return items;
+            Value.Items made = new Value.Items(at);
+            l.element().forEach(x -> element(x, 0, made));
+            return made;
         } else if (p instanceof RecordsParser.ListOfContext l) {
             return new Value.Each(at, value(l.expr(), closed));
         } else if (p instanceof RecordsParser.StringContext s) {
-            return new Value.Plain(at, unquoted(s.STRING().getText()), "");
+            return new Value.Plain(at, filled(at, s.STRING().getText()), "");
         } else if (p instanceof RecordsParser.NumberContext n) {
             return number(at, n.NUMBER().getText());
         } else if (p instanceof RecordsParser.TruthContext t) {
@@ -187,10 +272,104 @@
         return reference((RecordsParser.ReferenceContext) p);
     }
 
+    /** One item, or as many as a comprehension makes: its clauses from the n-th on. */
+    private void element(RecordsParser.ElementContext e, int n, Value.Items to) {
+        if (e.clause().isEmpty()) {
+            to.items.add(value(e.expr(), false));
+            return;
+        }
+        if (n == e.clause().size()) {
+            if (++items > MOST_ITEMS) {
+                if (items == MOST_ITEMS + 1) {
+                    faults.add(place(e) + ": more than " + MOST_ITEMS + " items");
+                }
+                return;
+            }
+            Value.Rec rec = new Value.Rec(place(e), false);
+            e.field().forEach(f -> put(rec, f));
+            to.items.add(rec);
+        } else if (e.clause(n) instanceof RecordsParser.EachContext each) {
+            Value over = value(each.expr(), false);
+            if (!(over instanceof Value.Items all)) {
+                faults.add(place(each) + ": for: expected a list, found " + over.text());
+                return;
+            }
+            String last = each.IDENT(each.IDENT().size() - 1).getText();
+            String first = each.IDENT().size() > 1 ? each.IDENT(0).getText() : null;
+            Map<String, Value> before = new HashMap<>(scope);
+            for (int i = 0; i < all.items.size() && items <= MOST_ITEMS; i++) {
+                scope.put(last, all.items.get(i));
+                if (first != null) {
+                    scope.put(first, new Value.Plain(place(each), (double) i, ""));
+                }
+                element(e, n + 1, to);
+            }
+            scope.clear();
+            scope.putAll(before);
+        } else if (holds((RecordsParser.WhereContext) e.clause(n))) {
+            element(e, n + 1, to);
+        }
+    }
+
+    private boolean holds(RecordsParser.WhereContext w) {
+        Value a = value(w.expr(0), false);
+        Value b = value(w.expr(1), false);
+        if (!(a instanceof Value.Plain x) || !(b instanceof Value.Plain y) || x.value.getClass() != y.value.getClass()) {
+            faults.add(place(w) + ": if: " + a.text() + " and " + b.text() + " cannot be compared");
+            return false;
+        }
+        if (w.op.getText().equals("==") || w.op.getText().equals("!=")) {
+            return Value.same(x, y) == w.op.getText().equals("==");
+        }
+        if (!(x.value instanceof Double left)) {
+            faults.add(place(w) + ": if: " + a.text() + " has no order");
+            return false;
+        }
+        return new Value.Bound(place(w), w.op.getText(), y).met(left);
+    }
+
+    /** A string with what it refers to put in for each \\(NAME). */
+    private String filled(Place at, String quoted) {
+        if (!quoted.contains("\\(")) {
+            return unquoted(quoted);
+        }
+        StringBuilder out = new StringBuilder();
+        Matcher m = FILLED.matcher(quoted);
+        while (m.find()) {
+            Value v = null;
+            for (String part : m.group(1).trim().split("\\.")) {
+                v = v == null ? scope.containsKey(part) ? scope.get(part) : definition(part, at)
+                        : v instanceof Value.Rec rec ? rec.fields.get(part) : null;
+                if (v == null) {
+                    break;
+                }
+            }
+            while (v instanceof Value.Either e && e.preferred != null) {
+                v = e.preferred;
+            }
+            if (!(v instanceof Value.Plain p)) {
+                faults.add(at + ": \\(" + m.group(1) + "): there is no such value");
+            }
+            String text = !(v instanceof Value.Plain p) ? "" : p.value instanceof Double d && d == Math.rint(d)
+                    ? Long.toString(d.longValue()) : p.value.toString();
+            m.appendReplacement(out, Matcher.quoteReplacement(text));
+        }
+        m.appendTail(out);
+        return unquoted(out.toString());
+    }
+
+    private static final Pattern FILLED = Pattern.compile("\\\\\\(([^)]*)\\)");
+
     private Value reference(RecordsParser.ReferenceContext r) {
         String name = r.name.getText();
         Place at = place(r);
-        if (Value.Type.NAMES.contains(name) && r.IDENT().size() <= 1 && !tops.containsKey(name)) {
+        List<Token> path = new ArrayList<>();
+        for (int i = 1; i < r.getChildCount(); i++) {
+            if (r.getChild(i) instanceof TerminalNode t && !t.getText().equals(".")) {
+                path.add(t.getSymbol());
+            }
+        }
+        if (Value.Type.NAMES.contains(name) && path.isEmpty() && !tops.containsKey(name) && !scope.containsKey(name)) {
             return new Value.Type(at, name);
         }
         if (++depth > DEPTH) {
@@ -198,11 +377,10 @@
             depth--;
             return new Value.Rec(at, false);
         }
-        Value v = definition(name, at);
+        Value v = scope.containsKey(name) ? scope.get(name) : definition(name, at);
         depth--;
-        int from = r.name.getType() == RecordsParser.IDENT ? 1 : 0;
-        for (int i = from; i < r.IDENT().size(); i++) {
-            String field = r.IDENT(i).getText();
+        for (Token each : path) {
+            String field = each.getText();
             Value next = v instanceof Value.Rec rec ? rec.fields.get(field) : null;
             if (next == null) {
                 faults.add(at + ": " + r.getText() + ": there is no field " + field);
--- a/src/main/java/sprucelanding/records/Records.java
+++ b/src/main/java/sprucelanding/records/Records.java
@@ -8,7 +8,6 @@
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,7 +23,7 @@
     }
 
     /**
-     * Reads a file and binds it.
+     * Reads a file, or all files of a folder as one package, and binds what they come to. Imports come from below the folder.
      *
      * @param schema a resource beside the class, with the definitions
      * @param definition the one that the whole file must meet, such as #Governor
@@ -33,7 +32,69 @@
      */
     public static <T extends Record> T read(Path file, String schema, String definition, Class<T> into)
             throws Invalid, IOException {
-        return parse(file.getFileName().toString(), Files.readString(file), schema, definition, into);
+        List<String> faults = new ArrayList<>();
+        Map<String, Value> known = new HashMap<>();
+        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, into))));
+        Value.Rec given = new Reader(known, new Folder(file), faults).read(Folder.sources(file));
+        return bound(known.get(definition), given, into, faults);
+    }
+
+    /**
+     * What a file or folder and a definition come to, for people to read: a line for each value with its field and where it was
+     * given; a default's place is the schema's. Throws as read does.
+     */
+    public static List<Shown> show(Path file, String schema, String definition, Class<?> beside) throws Invalid, IOException {
+        List<String> faults = new ArrayList<>();
+        Map<String, Value> known = new HashMap<>();
+        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, beside))));
+        Value.Rec given = new Reader(known, new Folder(file), faults).read(Folder.sources(file));
+        Value whole = faults.isEmpty() ? new Unify(faults).meet(known.get(definition), given, "") : given;
+        if (!faults.isEmpty()) {
+            throw new Invalid(faults);
+        }
+        List<Shown> all = new ArrayList<>();
+        shown(whole, "", all);
+        return all;
+    }
+
+    /** A field, its value as one would write it, and where it was given. */
+    public record Shown(String field, String value, String place) {
+    }
+
+    /** A number with its unit, as a person would write it. */
+    private static String written(Value.Plain p) {
+        if (!(p.value instanceof Double d)) {
+            return p.text();
+        }
+        double n = p.unit.equals("share") ? d * 100 : p.unit.equals("time") && d % 1000 == 0 ? d / 1000 : d;
+        String unit = switch (p.unit) {
+            case "time" -> d % 1000 == 0 ? "s" : "ms";
+            case "share" -> "%";
+            case "rate" -> "/s";
+            default -> "";
+        };
+        return new java.math.BigDecimal(n, new java.math.MathContext(12)).stripTrailingZeros().toPlainString() + unit;
+    }
+
+    private static void shown(Value v, String field, List<Shown> to) {
+        Value chosen = v;
+        while (chosen instanceof Value.Either e && e.preferred != null) {
+            chosen = e.preferred;
+        }
+        if (chosen instanceof Value.Rec rec) {
+            rec.fields.forEach((name, each) -> {
+                boolean preset = each instanceof Value.Either e && e.preferred != null;
+                if (!rec.optional.contains(name) || preset) {
+                    shown(each, field.isEmpty() ? name : field + "." + name, to);
+                }
+            });
+        } else if (chosen instanceof Value.Items items) {
+            for (int i = 0; i < items.items.size(); i++) {
+                shown(items.items.get(i), field + "[" + i + "]", to);
+            }
+        } else {
+            to.add(new Shown(field, chosen instanceof Value.Plain p ? written(p) : chosen.text(), chosen.place.toString()));
+        }
     }
 
     /** The same for a text. */
@@ -47,13 +108,17 @@
             String definition, Class<T> into) throws Invalid {
         List<String> faults = new ArrayList<>();
         Map<String, Value> known = new HashMap<>();
-        new Reader(schema, known, faults).read(resource(schema, into));
-        Value.Rec given = new Reader(name, known, faults).read(text);
+        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, into))));
+        Value.Rec given = new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(name, text)));
         if (over != null) {
-            lay(given, new Reader(overName, known, faults).read(over));
+            lay(given, new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(overName, over))));
         }
+        return bound(known.get(definition), given, into, faults);
+    }
+
+    private static <T extends Record> T bound(Value definition, Value.Rec given, Class<T> into, List<String> faults) throws Invalid {
         if (faults.isEmpty()) {
-            Value whole = new Unify(faults).meet(known.get(definition), given, "");
+            Value whole = new Unify(faults).meet(definition, given, "");
             if (faults.isEmpty()) {
                 Object bound = new Bind(faults).bind(whole, into, "");
                 if (faults.isEmpty()) {
--- /dev/null
+++ b/src/test/java/sprucelanding/records/PackageTest.java
@@ -0,0 +1,150 @@
+package sprucelanding.records;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of records in several files, made by comprehensions, or meant to break the reader. */
+class PackageTest {
+    @TempDir
+    Path folder;
+
+    private void file(String name, String text) throws IOException {
+        Path file = folder.resolve(name);
+        Files.createDirectories(file.getParent());
+        Files.writeString(file, text);
+    }
+
+    private RecordsTest.Inn inn() throws Exception {
+        return Records.read(folder, "inn.cue", "#Inn", RecordsTest.Inn.class);
+    }
+
+    private List<String> faults() {
+        return assertThrows(Invalid.class, this::inn).faults();
+    }
+
+    @Test
+    void whatOneFileLeavesOpenAnotherMayGiveAndRefersToIt() throws Exception {
+        file("a.cue", "package inn\nname: \"Boar\"\nopens: late\nlate: >=1s");
+        file("b.cue", "package inn\nkeeper: name: name");
+        file("c.cue", "package inn\nlate: 2s\nrooms: []");
+        assertTrue(faults().get(0).contains("late: there is no such field"), faults().toString());
+        file("a.cue", "package inn\n#late: 2s\nname: \"Boar\"\nopens: >=1s");
+        file("c.cue", "package inn\nopens: #late\nrooms: []");
+        assertEquals(2000, inn().opens());
+        assertEquals("Boar", inn().keeper().name());
+    }
+
+    @Test
+    void aConflictAcrossFilesShowsBothSides() throws Exception {
+        file("a.cue", "name: \"Boar\"\nopens: 1s\nkeeper: name: \"K\"\nrooms: []");
+        file("b.cue", "opens: <500ms");
+        file("c.cue", "name: \"Hart\"");
+        List<String> faults = faults();
+        String folderName = folder.getFileName().toString();
+        assertTrue(faults.stream().anyMatch(f -> f.contains(folderName + "/c.cue:1:7: name:") || f.contains(folderName + "/a.cue:1:7: name:")
+                && f.contains("c.cue:1:7")), faults.toString());
+        assertTrue(faults.stream().anyMatch(f -> f.contains("a.cue:2:8") && f.contains("b.cue:1:8")), faults.toString());
+        file("d.cue", "package other");
+        file("e.cue", "package inn");
+        assertTrue(faults().get(0).contains("package inn, but other"), faults().toString());
+    }
+
+    @Test
+    void comprehensionsMakeItemsOfListsAndStringsOfValues() throws Exception {
+        file("a.cue", "name: \"inn \\(#floors)\"\nopens: 1s\nkeeper: name: \"K\"\n#floors: 3\n"
+                + "#sizes: [1, 2, 3, 4]\nrooms: [{beds: 9}, for i, n in #sizes for half in [50%, 40%] if n >= 3 if half != 40% "
+                + "{beds: n, full: half}]");
+        RecordsTest.Inn inn = inn();
+        assertEquals("inn 3", inn.name());
+        assertEquals(List.of(new RecordsTest.Room(9, 0.9), new RecordsTest.Room(3, 0.5), new RecordsTest.Room(4, 0.5)), inn.rooms());
+        file("a.cue", "name: \"x\"\nopens: 1s\nkeeper: name: \"K\"\nrooms: [for n in 7 {beds: n}, for n in [1] if n < \"a\" {beds: n}]");
+        assertTrue(faults().get(0).contains("for: expected a list") && faults().get(1).contains("cannot be compared"), faults().toString());
+    }
+
+    @Test
+    void importsComeFromBelowTheConfigFolderOnlyAndNotInCircles() throws Exception {
+        file("a.cue", "import \"people/staff\"\nname: \"Boar\"\nopens: 1s\nkeeper: staff.#Keeper\nrooms: []");
+        file("people/staff/s.cue", "#Keeper: {name: \"K\", strict: true}");
+        assertEquals(new RecordsTest.Keeper("K", true), inn().keeper());
+        file("people/staff/t.cue", "import \"people/staff\"");
+        assertTrue(faults().get(0).contains("imported by what it imports"), faults().toString());
+        Files.delete(folder.resolve("people/staff/t.cue"));
+        for (String out : List.of("../x", "/etc", "", ".", "people/nobody")) {
+            file("b.cue", "import \"" + out + "\"");
+            assertTrue(faults().get(0).contains("b.cue:1:1: import"), faults().toString());
+        }
+        Files.delete(folder.resolve("b.cue"));
+        Files.createSymbolicLink(folder.resolve("away"), Files.createTempDirectory("outside"));
+        file("b.cue", "import \"away\"");
+        assertTrue(faults().get(0).contains("a link leads outside"), faults().toString());
+    }
+
+    @Test
+    void hugeInputsAreRefusedAndNotHungOn() throws Exception {
+        file("a.cue", "rooms: [" + "{beds: 1},\n".repeat(5_000_000) + "]"); // some 50 MB
+        assertTrue(faults().get(0).contains("more than 16777216 characters"), faults().toString());
+        file("a.cue", "#l: [0, 1, 2, 3, 4, 5, 6, 7, 8, 9]\nrooms: [for a in #l for b in #l for c in #l for d in #l "
+                + "for e in #l for f in #l for g in #l {beds: 1}]");
+        assertTrue(faults().stream().anyMatch(f -> f.contains("more than 1000000 items")), () -> faults().get(0));
+        file("a.cue", "a: b: c: ".repeat(60) + "1");
+        assertTrue(faults().size() > 0);
+    }
+
+    @Provide
+    Arbitrary<String> soup() {
+        return Arbitraries.of("{", "}", "[", "]", "(", ")", ":", ",", "|", "&", "*", "...", ">=", "<", "!=", "for", "in", "if", "==",
+                "a", "#A", "b", "1", "2s", "40%", "\"s\"", "\"\\(a)\"", "name", ".", "?", "import", "package", "true", "\n", "//x\n", "\"")
+                .list().ofMaxSize(40).map(l -> String.join(" ", l));
+    }
+
+    @Property(tries = 2000, seed = "1")
+    void whateverIsReadItIsAValueOrNamedFaults(@ForAll("soup") String text) {
+        try {
+            Records.parse("x.cue", text, "inn.cue", "#Inn", RecordsTest.Inn.class);
+        } catch (Invalid e) {
+            assertTrue(e.faults().stream().allMatch(f -> f.matches("(?s)(x|inn)\\.cue:\\d+:\\d+: .*")), e.faults().toString());
+        }
+    }
+
+    @Property(tries = 500, seed = "2")
+    void whatWasFormattedStaysAsItIsAndMeansTheSame(@ForAll("soup") String text) throws Invalid {
+        String once;
+        try {
+            once = Format.of("x.cue", text);
+        } catch (Invalid e) {
+            return;
+        }
+        assertEquals(once, Format.of("x.cue", once));
+    }
+
+    @Test
+    void fmtGivesOneLookAndKeepsComments() throws Exception {
+        assertEquals("// top\nname: \"x\" // of it\n\nrooms: [\n\t{beds: 1, full: >=0.5 & <1},\n]\nkeeper: {\n\tname: \"K\"\n}\n",
+                Format.of("x.cue", "// top\nname :\"x\"   // of it  \n\n\n\nrooms:[\n      { beds:1,full:>=0.5&<1 } ,\n]\nkeeper:{\nname: \"K\"\n}"));
+    }
+
+    @Test
+    void showTellsEachValueAndWhereItWasGiven() throws Exception {
+        file("a.cue", "name: \"Boar\"\nopens: 1s\nkeeper: name: \"K\"");
+        file("b.cue", "rooms: [{beds: 2}]");
+        List<Records.Shown> shown = Records.show(folder, "inn.cue", "#Inn", RecordsTest.class);
+        String here = folder.getFileName() + "/";
+        assertTrue(shown.contains(new Records.Shown("name", "\"Boar\"", here + "a.cue:1:7")), shown.toString());
+        assertTrue(shown.contains(new Records.Shown("rooms[0].beds", "2", here + "b.cue:1:16")), shown.toString());
+        assertTrue(shown.stream().anyMatch(s -> s.field().equals("mood") && s.value().equals("\"calm\"")
+                && s.place().startsWith("inn.cue:")), shown.toString());
+    }
+}
