Routing expectations beside the configuration, checked against the module without traffic

Change: expect FILE tries each expectation on every replica, zone or pair that its events can strike, in a fleet where traffic is a flow and the service's own core decides in virtual time; searches sequences of failures to a depth, cuts a failing one to the shortest; names expectations that never applied and pairs that contradict each other.

--- a/src/test/java/sprucelanding/PackagesTest.java
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -32,10 +32,12 @@
                 .layer("stands").definedBy("sprucelanding.standin")
                 .layer("day").definedBy("sprucelanding.day")
                 .layer("emulator").definedBy("sprucelanding.emulator")
+                .layer("expect").definedBy("sprucelanding.expect")
                 .layer("lab").definedBy("sprucelanding.lab")
                 .layer("program").definedBy("sprucelanding.program")
                 .whereLayer("program").mayNotBeAccessedByAnyLayer()
-                .whereLayer("day").mayOnlyBeAccessedByLayers("emulator", "lab", "program")
+                .whereLayer("expect").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("day").mayOnlyBeAccessedByLayers("expect", "emulator", "lab", "program")
                 .whereLayer("emulator").mayOnlyBeAccessedByLayers("lab", "program")
                 .whereLayer("lab").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("stands").mayOnlyBeAccessedByLayers("day")
@@ -43,15 +45,15 @@
                 .whereLayer("fronts").mayOnlyBeAccessedByLayers("program", "day")
                 .whereLayer("governor").mayOnlyBeAccessedByLayers("fronts", "program", "day")
                 .whereLayer("decisions").mayOnlyBeAccessedByLayers("edits", "core", "capture", "station", "governor", "fronts", "program",
-                        "stands", "day", "emulator")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("capture", "station", "governor", "emulator", "program")
-                .whereLayer("station").mayOnlyBeAccessedByLayers("emulator", "program")
+                        "stands", "day", "emulator", "expect")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("capture", "station", "governor", "emulator", "expect", "program")
+                .whereLayer("station").mayOnlyBeAccessedByLayers("emulator", "expect", "program")
                 .whereLayer("model").mayOnlyBeAccessedByLayers("stands", "day", "emulator", "lab")
                 .whereLayer("capture").mayOnlyBeAccessedByLayers("day", "emulator", "program")
                 .whereLayer("fleet").mayOnlyBeAccessedByLayers("core", "governor", "station", "emulator", "program")
                 .whereLayer("edits").mayOnlyBeAccessedByLayers("fronts")
                 .whereLayer("markup").mayOnlyBeAccessedByLayers("fronts", "stands")
-                .whereLayer("module").mayOnlyBeAccessedByLayers("core", "capture", "station", "governor", "fronts", "emulator", "program")
+                .whereLayer("module").mayOnlyBeAccessedByLayers("core", "capture", "station", "governor", "fronts", "emulator", "expect", "program")
                 .check(all);
     }
 
