--- a/src/main/java/sprucelanding/program/Commands.java
+++ b/src/main/java/sprucelanding/program/Commands.java
@@ -20,13 +20,12 @@
 import sprucelanding.emulator.Emulation;
 import sprucelanding.emulator.Policy;
 import sprucelanding.records.Invalid;
-import sprucelanding.records.Records;
 import sprucelanding.station.Station;
 
 /** The sub-commands. Exit codes: 0 well, 1 it failed or a rule broke, 2 what was given cannot be used. */
 @Command(name = "sprucelanding", mixinStandardHelpOptions = true, version = "0.2.0",
         description = "Publishes routing tables to a fleet of plain proxies.",
-        subcommands = {Commands.Govern.class, Commands.Play.class, Commands.Check.class, Commands.Gauge.class,
+        subcommands = {Commands.Govern.class, Commands.Play.class, RecordsCommand.Check.class, Commands.Gauge.class,
                 Commands.Edits.class, Commands.Bench.class, Captures.class, Commands.Emulate.class, Replays.class, Labs.class,
                 Commands.Loads.class, RecordsCommand.class, ExpectCommand.class})
 final class Commands {
@@ -172,32 +171,6 @@
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true, description = "Checks files of records.")
-    static final class Check implements Callable<Integer> {
-        @Parameters(paramLabel = "FILE", arity = "1..*", description = "stations or days")
-        private Path[] files;
-
-        @Override
-        public Integer call() throws Exception {
-            int faults = 0;
-            for (Path file : files) {
-                try {
-                    String text = Files.readString(file);
-                    if (text.contains("station:") || !text.contains("lasts:")) {
-                        Build.check(Records.read(file, Station.SCHEMA, Station.DEFINITION, Station.class));
-                    } else {
-                        Script.read(file).check();
-                    }
-                    System.out.println(file + ": well");
-                } catch (Invalid | IllegalArgumentException e) {
-                    faults++;
-                    System.out.println(e.getMessage());
-                }
-            }
-            return faults == 0 ? 0 : 2;
-        }
-    }
-
     @Command(name = "measure", mixinStandardHelpOptions = true,
             description = "Measures a governor at a size: from decision to bytes written and to acknowledgement.")
     static final class Gauge implements Callable<Integer> {
--- a/src/main/java/sprucelanding/program/RecordsCommand.java
+++ b/src/main/java/sprucelanding/program/RecordsCommand.java
@@ -39,6 +39,11 @@
         }
     }
 
+    private static Kind kind(Path file) throws IOException {
+        String text = Files.isDirectory(file) ? "" : Files.readString(file);
+        return text.contains("lasts:") && text.contains("troubles:") ? Kind.day : text.contains("settings:") ? Kind.lab : Kind.station;
+    }
+
     private static List<Records.Shown> shown(Kind kind, Path file) throws Invalid, IOException {
         return switch (kind) {
             case station -> Records.show(file, Station.SCHEMA, Station.DEFINITION, Station.class);
@@ -49,7 +54,7 @@
 
     @Command(name = "check", mixinStandardHelpOptions = true, description = "Says all that is wrong, with file, line, column and field.")
     static final class Check implements Callable<Integer> {
-        @Option(names = "--as", defaultValue = "station", description = "${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE})")
+        @Option(names = "--as", description = "${COMPLETION-CANDIDATES} (default: by what a file holds)")
         private Kind kind;
         @Parameters(paramLabel = "FILE", arity = "1..*", description = "files, or folders as one package each")
         private Path[] files;
@@ -59,7 +64,7 @@
             int faults = 0;
             for (Path file : files) {
                 try {
-                    switch (kind) {
+                    switch (kind == null ? kind(file) : kind) {
                         case station -> Build.check(Records.read(file, Station.SCHEMA, Station.DEFINITION, Station.class));
                         case day -> days(Script.read(file));
                         case lab -> Lab.read(file);
--- a/src/test/java/sprucelanding/PackagesTest.java
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -61,7 +61,7 @@
     void whatDecidesDoesNoInputOrOutputAndHasNoClock() {
         ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.delivery",
                 "sprucelanding.intake", "sprucelanding.roster", "sprucelanding.edits", "sprucelanding.core", "sprucelanding.model",
-                "sprucelanding.capture.estimate", "sprucelanding.fleet").should().dependOnClassesThat()
+                "sprucelanding.capture.estimate", "sprucelanding.fleet", "sprucelanding.streamed").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                         "io.grpc..", "org.slf4j..")
                 .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
