Twins folded: own files, what a value comes to, what a story showed; one look less in each round

Cause: a reading of the whole change. A file renamed into place, the check of mode 600, the pull of decisions and the choice among alternatives each stood twice or more; null, empty and text told three things apart; each round copied sets of who lives and looked at all proxies for those that wait.

Change: OwnFile, Round.pull, Value.chosen, Records.whole, Side's looks; a record for what a story showed; who waits for a promise is kept in order and only the first looked at. Flow's fleet goes on telling loads after its governor restarts: it had fallen silent.

--- a/src/main/java/sprucelanding/core/Round.java
+++ b/src/main/java/sprucelanding/core/Round.java
@@ -330,6 +330,11 @@
     }
 
     private void pull(BooleanSupplier decision) {
+        pull(host, decision);
+    }
+
+    /** Pulls until there is no decision; one that throws is the host's to tell. */
+    static void pull(Host host, BooleanSupplier decision) {
         try {
             while (decision.getAsBoolean()) {
                 continue;
--- a/src/main/java/sprucelanding/core/Shared.java
+++ b/src/main/java/sprucelanding/core/Shared.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import sprucelanding.delivery.Holder;
 import sprucelanding.delivery.Message;
@@ -106,7 +105,7 @@
             return;
         }
         Caller c = new Caller(Leases.key(name), way, holder, name, zone, usual, bare);
-        holder.leased(Double.NEGATIVE_INFINITY, 0);
+        holder.withheld();
         Caller before = callers.put(c.key, c);
         byNumber.put(holder.id, c);
         if (before != null) {
@@ -120,7 +119,7 @@
     private void over(Caller c) {
         c.may = false;
         c.held.clear();
-        c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.lease().epoch());
+        c.holder.withheld();
         if (c.in) {
             c.in = false;
             round.left(c.holder);
@@ -164,7 +163,7 @@
     public void settle() {
         if (sharing != null) {
             sharing.clock(host.now());
-            pull(() -> sharing.decide(does));
+            Round.pull(host, () -> sharing.decide(does));
         }
         if (lapsed > 0) {
             host.log("proxies are not owned for now", "proxies", lapsed, "of", callers.size(), "majority", sharing.majority());
@@ -178,16 +177,6 @@
         }
     }
 
-    private void pull(BooleanSupplier decision) {
-        try {
-            while (decision.getAsBoolean()) {
-                continue;
-            }
-        } catch (RuntimeException e) {
-            host.bug(e);
-        }
-    }
-
     /** Its figures, behind those of the Round; empty without other governors. */
     public Object[] figures() {
         return sharing == null ? new Object[0] : new Object[] {"lives", sharing.live().size(), "majority", sharing.majority(),
@@ -228,7 +217,7 @@
             Caller c = callers.get(proxy);
             if (c != null) {
                 c.may = false;
-                c.holder.leased(Double.NEGATIVE_INFINITY, c.holder.lease().epoch());
+                c.holder.withheld();
                 lapsed++;
             }
         }
--- a/src/main/java/sprucelanding/day/Day.java
+++ b/src/main/java/sprucelanding/day/Day.java
@@ -248,9 +248,7 @@
             return;
         }
         ownKey = DeviceStand.key();
-        Path file = folder.resolve("governors-key");
-        Files.deleteIfExists(file);
-        Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+        Path file = secretFile("governors-key");
         StringBuilder lines = new StringBuilder();
         try (OutputStream out = Files.newOutputStream(file)) {
             OpenSSHKeyPairResourceWriter.INSTANCE.writePrivateKey(ownKey, "governors", null, out);
@@ -318,12 +316,17 @@
         }
     }
 
+    /** A file that is empty and for its owner alone. */
+    private Path secretFile(String name) throws IOException {
+        Path file = folder.resolve(name);
+        Files.deleteIfExists(file);
+        return Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+    }
+
     /** What governors sign their packets with. */
     private void secret() throws IOException {
         if (script.governors().shared()) {
-            Path file = folder.resolve("governors-secret");
-            Files.deleteIfExists(file);
-            Files.createFile(file, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            Path file = secretFile("governors-secret");
             byte[] key = new byte[32];
             new Random(chance.nextLong()).nextBytes(key);
             Files.writeString(file, java.util.HexFormat.of().formatHex(key) + "\n");
--- a/src/main/java/sprucelanding/delivery/Holder.java
+++ b/src/main/java/sprucelanding/delivery/Holder.java
@@ -73,6 +73,11 @@
         lease = new Lease(until, epoch);
     }
 
+    /** Nothing may be written to the proxy until a lease says so. */
+    public void withheld() {
+        lease = new Lease(Double.NEGATIVE_INFINITY, lease.epoch);
+    }
+
     /**
      * To be asked right before each write, by whatever thread writes: a governor that stood still may own the proxy no longer.
      * What is written then goes under the epoch of this very answer.
--- a/src/main/java/sprucelanding/expect/Checker.java
+++ b/src/main/java/sprucelanding/expect/Checker.java
@@ -31,7 +31,26 @@
     /** An event on those whom it strikes. */
     private record Strike(String what, String whom, List<Integer> servers, double after, double size) {
         String text() {
-            return String.format(Locale.ROOT, "%.1f s later %s%s", after / 1000, whom.isEmpty() ? "" : whom + " ", what);
+            String said = what.equals("more") ? size + " times as much" : what.equals("restarts") ? "the governor restarts" : what;
+            return String.format(Locale.ROOT, "%.1f s later %s%s", after / 1000, whom.isEmpty() ? "" : whom + " ", said);
+        }
+    }
+
+    /** What a story showed of an expectation: whether it applied at all, and why it failed, or null. */
+    private record Shown(boolean applied, String why) {
+        static final Shown HELD = new Shown(true, null);
+        static final Shown NOTHING = new Shown(false, null);
+
+        static Shown failed(String format, Object... args) {
+            return new Shown(true, String.format(Locale.ROOT, format, args));
+        }
+
+        static Shown held(boolean applied) {
+            return applied ? HELD : NOTHING;
+        }
+
+        boolean failed() {
+            return why != null;
         }
     }
 
@@ -60,16 +79,16 @@
             names(e, "expectations[" + i + "]");
             List<List<Strike>> tried = strikes(e.events());
             boolean applied = false;
-            List<String> whys = tried.parallelStream().map(each -> new Try(tries(e, each))).toList().stream().map(Try::why).toList();
+            List<Shown> shows = tried.parallelStream().map(each -> tries(e, each)).toList();
             for (int n = 0; n < tried.size(); n++) {
                 List<Strike> each = tried.get(n);
-                String why = whys.get(n);
-                applied |= why == null || !why.isEmpty();
+                Shown shown = shows.get(n);
+                applied |= shown.applied;
                 String story = said(each);
-                if (why != null && !why.isEmpty()) {
+                if (shown.failed()) {
                     failedIn.computeIfAbsent(e.name(), x -> new LinkedHashSet<>()).add(story);
-                    failed.computeIfAbsent(e.name(), x -> why + "; story: " + said(shortest(e, each)));
-                } else if (why == null) {
+                    failed.computeIfAbsent(e.name(), x -> shown.why + "; story: " + said(shortest(e, each)));
+                } else if (shown.applied) {
                     heldIn.computeIfAbsent(e.name(), x -> new LinkedHashSet<>()).add(story);
                 }
             }
@@ -119,8 +138,7 @@
     private List<Strike> one(Event e, List<Strike> before) {
         List<Strike> all = new ArrayList<>();
         switch (e.what()) {
-            case "more", "restarts" -> all.add(new Strike(e.what().equals("more") ? e.size() + " times as much" : "the governor restarts", "",
-                    List.of(), e.after(), e.size()));
+            case "more", "restarts" -> all.add(new Strike(e.what(), "", List.of(), e.after(), e.size()));
             case "zoneLost" -> {
                 for (int z = 0; z < script.zones().size(); z++) {
                     if (e.one() == null || e.one().equals(script.zones().get(z))) {
@@ -155,8 +173,7 @@
 
     // One story.
 
-    /** Null if it held all along; empty if it did not apply; else why it failed. */
-    private String tries(Expectation e, List<Strike> strikes) {
+    private Shown tries(Expectation e, List<Strike> strikes) {
         stories.increment();
         Flow f = new Flow(script, station);
         f.runs(SETTLES);
@@ -164,92 +181,81 @@
         for (Strike s : strikes) {
             f.runs(s.after);
             List<Flow.Server> whom = s.servers.stream().map(f.servers::get).toList();
-            f.happens(s.what.endsWith("as much") ? "more" : s.what.startsWith("the governor") ? "restarts" : s.what, whom, s.size);
+            f.happens(s.what, whom, s.size);
             struck = whom.isEmpty() ? struck : whom;
         }
         boolean early = e.expect().equals("gentle");
         if (!early) {
             f.runs(e.within());
         }
-        String why = "";
+        Shown all = Shown.NOTHING;
         for (double end = f.now() + (early ? e.within() : e.holds()); f.now() < end;) {
             f.runs(LOOK);
             for (int k = 0; k < script.products().size(); k++) {
                 if (e.product() == null || e.product().equals(script.products().get(k).name())) {
-                    String now = looks(e, f, struck, k);
-                    if (now != null && !now.isEmpty()) {
+                    Shown now = looks(e, f, struck, k);
+                    if (now.failed()) {
                         bugs.add(f.bugs);
-                        return script.products().get(k).name() + ": " + now;
+                        return Shown.failed("%s: %s", script.products().get(k).name(), now.why);
                     }
-                    why = now == null ? null : why;
+                    all = now.applied ? now : all;
                 }
             }
         }
         bugs.add(f.bugs);
-        return why;
+        return all;
     }
 
-    private String looks(Expectation e, Flow f, List<Flow.Server> struck, int product) {
+    private Shown looks(Expectation e, Flow f, List<Flow.Server> struck, int product) {
         switch (e.expect()) {
             case "noTraffic":
                 List<Flow.Server> out = f.servers.stream().filter(s -> !s.ready()).toList();
-                return out.isEmpty() ? "" : out.stream().filter(s -> f.part(s, product) > 0).findFirst()
-                        .map(s -> say("replica %d gets %.1f%%", s.position, 100 * f.part(s, product))).orElse(null);
+                return out.stream().filter(s -> f.part(s, product) > 0).findFirst()
+                        .map(s -> Shown.failed("replica %d gets %.1f%%", s.position, 100 * f.part(s, product)))
+                        .orElse(Shown.held(!out.isEmpty()));
             case "aLine":
-                return f.lines(product) == 0 ? "a proxy has no line to a replica that is ready" : null;
+                return f.lines(product) == 0 ? Shown.failed("a proxy has no line to a replica that is ready") : Shown.HELD;
             case "zonePart":
                 for (int z = 0; z < script.zones().size(); z++) {
                     int zone = z;
                     double part = f.servers.stream().filter(s -> s.zone == zone).mapToDouble(s -> f.part(s, product)).sum();
                     if ((e.zone() == null || e.zone().equals(script.zones().get(z))) && (part > e.atMost() || part < e.atLeast())) {
-                        return say("zone %s gets %.1f%%", script.zones().get(z), 100 * part);
+                        return Shown.failed("zone %s gets %.1f%%", script.zones().get(z), 100 * part);
                     }
                 }
-                return null;
+                return Shown.HELD;
             case "follows":
                 List<Flow.Server> ready = f.servers.stream().filter(s -> s.ready() && f.open(s, product)).toList();
                 double able = ready.stream().mapToDouble(s -> s.able).sum();
                 for (Flow.Server s : ready) {
                     double off = Math.abs(f.part(s, product) / (s.able / able) - 1);
                     if (off > e.atMost()) {
-                        return say("replica %d gets %.1f%%, and is %.1f%% of what the fleet can do", s.position, 100 * f.part(s, product),
+                        return Shown.failed("replica %d gets %.1f%%, and is %.1f%% of what the fleet can do", s.position, 100 * f.part(s, product),
                                 100 * s.able / able);
                     }
                 }
-                return ready.isEmpty() ? "" : null;
+                return Shown.held(!ready.isEmpty());
             case "gentle":
                 for (Flow.Server s : struck) {
                     double mean = 1.0 / Math.max(1, f.servers.stream().filter(x -> x.ready() && f.open(x, product)).count());
                     if (s.ready() && f.open(s, product) && f.part(s, product) > e.atMost() * mean) {
-                        return say("replica %d gets %.1f%% already, the mean is %.1f%%", s.position, 100 * f.part(s, product), 100 * mean);
+                        return Shown.failed("replica %d gets %.1f%% already, the mean is %.1f%%", s.position, 100 * f.part(s, product), 100 * mean);
                     }
                 }
-                return struck.isEmpty() ? "" : null;
+                return Shown.held(!struck.isEmpty());
             default:
                 double in = f.letIn(product);
-                return in < e.atLeast() || in > e.atMost() ? say("%.0f%% is let in", 100 * in) : null;
+                return in < e.atLeast() || in > e.atMost() ? Shown.failed("%.0f%% is let in", 100 * in) : Shown.HELD;
         }
     }
 
-    private static String say(String format, Object... args) {
-        return String.format(Locale.ROOT, format, args);
-    }
-
-    private static boolean fails(String why) {
-        return why != null && !why.isEmpty();
-    }
-
-    /** What came of a story; a stream takes no nulls. */
-    private record Try(String why) {
-    }
-
     /** Leaves out what the failure does not need. */
     private List<Strike> shortest(Expectation e, List<Strike> strikes) {
         List<Strike> now = strikes;
         for (int i = 0; i < now.size();) {
             List<Strike> less = new ArrayList<>(now);
             less.remove(i);
-            if (fails(tries(e, less))) {
+            if (tries(e, less).failed()) {
                 now = less;
             } else {
                 i++;
@@ -280,9 +286,9 @@
         for (Expectation e : general) {
             if (!failed.containsKey(e.name())) {
                 sequences.subList(0, Math.min(sequences.size(), all.search().most())).parallelStream()
-                        .filter(each -> fails(tries(e, each))).findFirst().ifPresent(each -> {
+                        .filter(each -> tries(e, each).failed()).findFirst().ifPresent(each -> {
                             List<Strike> least = shortest(e, each);
-                            failed.put(e.name(), tries(e, least) + "; story found: " + said(least));
+                            failed.put(e.name(), tries(e, least).why + "; story found: " + said(least));
                         });
             }
         }
--- a/src/main/java/sprucelanding/expect/Flow.java
+++ b/src/main/java/sprucelanding/expect/Flow.java
@@ -223,7 +223,6 @@
             double util = Math.min(1, load[s.position] / s.able);
             s.util = s.busy > 0 ? s.busy : s.util + (util - s.util) / 2;
         }
-        int me = life;
         double every = station.reports().every();
         for (Proxy p : proxies) {
             List<Report.Met> met = new ArrayList<>();
@@ -246,11 +245,7 @@
             // A report that repeats the one before to the letter is left out as a stuck one: its span tells them apart.
             round.reported(new Report(p.number, every + order++ % 7 * 0.01, met, came));
         }
-        at(now + every, () -> {
-            if (me <= life) {
-                tick();
-            }
-        });
+        due.add(new Due(now + every, order++, this::tick)); // the fleet's own, whatever becomes of the governor
     }
 
     // What may be asked of it.
--- a/src/main/java/sprucelanding/fleet/Peers.java
+++ b/src/main/java/sprucelanding/fleet/Peers.java
@@ -202,6 +202,15 @@
         return live;
     }
 
+    /** How many others take part. */
+    public int others() {
+        int n = 0;
+        for (Member m : members.values()) {
+            n += m.id != self && (m.state == State.ALIVE || m.state == State.SUSPECT) ? 1 : 0;
+        }
+        return n;
+    }
+
     /** Whether it is on the side of most of the governors that there may be; else it takes over nothing. */
     public boolean majority() {
         return 2 * live().size() > members.size();
--- a/src/main/java/sprucelanding/fleet/Share.java
+++ b/src/main/java/sprucelanding/fleet/Share.java
@@ -2,7 +2,10 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.stream.IntStream;
 
 /**
  * How many proxies a governor should have, and which it turns away or sends on. A proxy dials whom it likes; it is turned away
@@ -115,25 +118,16 @@
         if (count <= LITTLE * room) {
             return false;
         }
-        double rooms = room;
-        double all = count;
-        boolean other = false;
-        for (int pass = 0; pass < 2; pass++) {
-            for (int g = 0; g < Peers.MOST; g++) {
-                Leases.Load l = load(g);
-                if (l != null && pass == 0) {
-                    rooms += l.room();
-                    all += l.streams();
-                } else if (l != null) {
-                    other |= l.streams() + 1 <= all * l.room() / rooms;
-                }
-            }
-        }
+        List<Leases.Load> others = others();
+        double rooms = room + others.stream().mapToDouble(Leases.Load::room).sum();
+        double all = count + others.stream().mapToDouble(Leases.Load::streams).sum();
+        boolean other = others.stream().anyMatch(l -> l.streams() + 1 <= all * l.room() / rooms);
         return other && count > Math.ceil(times * all * room / rooms);
     }
 
-    private Leases.Load load(int governor) {
-        return governor == self ? null : leases.load(governor);
+    /** What those of the others said that were heard of late. */
+    private List<Leases.Load> others() {
+        return IntStream.range(0, Peers.MOST).filter(g -> g != self).mapToObj(leases::load).filter(Objects::nonNull).toList();
     }
 
     /** One decision; false if there is none now. */
@@ -171,12 +165,6 @@
     }
 
     private boolean lives(int where) {
-        for (int g = 0; g < Peers.MOST; g++) {
-            Leases.Load l = load(g);
-            if (l != null && l.zone() == where) {
-                return true;
-            }
-        }
-        return false;
+        return others().stream().anyMatch(l -> l.zone() == where);
     }
 }
--- a/src/main/java/sprucelanding/fleet/Sharing.java
+++ b/src/main/java/sprucelanding/fleet/Sharing.java
@@ -1,10 +1,10 @@
 package sprucelanding.fleet;
 
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 
 /**
  * One governor's part in a shared fleet: whom it takes, whom it may write to, and what it tells the others. It puts together
@@ -33,22 +33,14 @@
 
     private static final double TURN = 3000; // ms that a proxy waits for a majority's promise, until it is turned away
 
-    private static final class Guest {
-        final double since;
-        boolean let;
-        boolean ended;
-
-        Guest(double since) {
-            this.since = since;
-        }
-    }
-
-    private final int self;
     private final Peers peers;
     private final Leases leases;
     private final Share share;
     private final Recall recall;
-    private final Map<Long, Guest> guests = new LinkedHashMap<>();
+    /** Proxies that dialled and were not turned away; false once their stream is told to end. */
+    private final Map<Long, Boolean> guests = new HashMap<>();
+    /** Those of them that no majority has promised yet, with when they dialled, the first one first. */
+    private final LinkedHashMap<Long, Double> asking = new LinkedHashMap<>();
     private final ArrayDeque<Runnable> due = new ArrayDeque<>();
     private final Map<Long, Integer> waiting = new LinkedHashMap<>();
     private Acts acts;
@@ -59,8 +51,7 @@
     private long refused;
 
     /** @param recall null: governors tell each other nothing of the replicas */
-    public Sharing(int self, Peers peers, Leases leases, Share share, Recall recall) {
-        this.self = self;
+    public Sharing(Peers peers, Leases leases, Share share, Recall recall) {
         this.peers = peers;
         this.leases = leases;
         this.share = share;
@@ -108,15 +99,15 @@
             due.add(() -> acts.end(proxy, true, why));
             return;
         }
-        Guest g = new Guest(now);
-        guests.put(proxy, g);
+        guests.put(proxy, true);
+        asking.remove(proxy);
         if (owns) { // on a new stream it may go on at once: no other can have owned it meanwhile
-            g.let = true;
             leases.dialled(proxy);
             share.in(proxy, zone);
             due.add(() -> acts.may(proxy, leases.epoch(proxy)));
         } else {
             leases.left(proxy); // another may have owned it since: it is claimed under a new epoch
+            asking.put(proxy, now);
             waiting.put(proxy, zone);
         }
     }
@@ -124,6 +115,7 @@
     /** Its stream has ended, and nothing more is written on it. */
     public void left(long proxy) {
         waiting.remove(proxy);
+        asking.remove(proxy);
         if (guests.remove(proxy) != null) {
             leases.left(proxy);
             share.out(proxy);
@@ -194,9 +186,7 @@
             share.in(proxy, zone);
             return true;
         }
-        Set<Integer> others = new TreeSet<>(peers.live());
-        others.remove(self);
-        share.others(others.size());
+        share.others(peers.others());
         leases.loaded(share.load());
         if (leases.decide(hand) || share.decide(hand)) {
             return true;
@@ -212,20 +202,27 @@
             peers.leaves();
             return true;
         }
-        return turnsAway(to);
+        return turnsAway();
+    }
+
+    private void ends(long proxy, boolean busy, String why) {
+        asking.remove(proxy);
+        if (guests.replace(proxy, true, false)) {
+            acts.end(proxy, busy, why);
+        }
     }
 
     /** Who waits too long for a majority's promise goes to another, who may have it. */
-    private boolean turnsAway(Acts to) {
-        for (Map.Entry<Long, Guest> each : guests.entrySet()) {
-            Guest g = each.getValue();
-            if (!g.let && !g.ended && now - g.since > TURN) {
-                g.ended = true;
-                to.end(each.getKey(), true, "no majority of governors has promised it here");
-                return true;
-            }
+    private boolean turnsAway() {
+        if (asking.isEmpty()) {
+            return false;
+        }
+        Map.Entry<Long, Double> first = asking.entrySet().iterator().next();
+        if (now - first.getValue() <= TURN) {
+            return false;
         }
-        return false;
+        ends(first.getKey(), true, "no majority of governors has promised it here");
+        return true;
     }
 
     private final Hand hand = new Hand();
@@ -263,9 +260,8 @@
 
         @Override
         public void owned(long proxy, long epoch) {
-            Guest g = guests.get(proxy);
-            if (g != null) {
-                g.let = true;
+            if (guests.containsKey(proxy)) {
+                asking.remove(proxy);
                 acts.may(proxy, epoch);
             }
         }
@@ -282,20 +278,12 @@
 
         @Override
         public void yields(long proxy, int to) {
-            end(proxy, false, "it is on a newer stream at governor " + to);
+            ends(proxy, false, "it is on a newer stream at governor " + to);
         }
 
         @Override
         public void away(long proxy, String why) {
-            end(proxy, true, why);
-        }
-
-        private void end(long proxy, boolean busy, String why) {
-            Guest g = guests.get(proxy);
-            if (g != null && !g.ended) {
-                g.ended = true;
-                acts.end(proxy, busy, why);
-            }
+            ends(proxy, true, why);
         }
 
         @Override
--- a/src/main/java/sprucelanding/governor/Keep.java
+++ b/src/main/java/sprucelanding/governor/Keep.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.concurrent.ArrayBlockingQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,10 +43,8 @@
         try {
             while (true) {
                 String text = latest.take();
-                try { // renamed into place: cut off at any moment, the file is the old one or the new one
-                    Path half = file.resolveSibling(file.getFileName() + ".new");
-                    Files.write(half, text.getBytes(StandardCharsets.UTF_8));
-                    Files.move(half, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                try {
+                    OwnFile.replace(file, text.getBytes(StandardCharsets.UTF_8), false);
                 } catch (IOException e) {
                     LOG.atWarn().addKeyValue("file", file).setCause(e).log("the last list cannot be kept");
                 }
--- a/src/main/java/sprucelanding/governor/Lives.java
+++ b/src/main/java/sprucelanding/governor/Lives.java
@@ -1,13 +1,9 @@
 package sprucelanding.governor;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 
 /**
  * One number in a file: what the epochs of this governor's next life must begin above. It is written ahead of what was heard, so
@@ -51,13 +47,7 @@
     }
 
     private void put(long highest) throws IOException {
-        Path half = file.resolveSibling(file.getFileName() + ".new");
-        try (FileChannel out = FileChannel.open(half, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE)) {
-            out.write(ByteBuffer.wrap(((highest + AHEAD) + "\n").getBytes(StandardCharsets.US_ASCII)));
-            out.force(true);
-        }
-        Files.move(half, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        OwnFile.replace(file, ((highest + AHEAD) + "\n").getBytes(StandardCharsets.US_ASCII), true);
         kept = highest + AHEAD;
     }
 }
--- a/src/main/java/sprucelanding/governor/Secrets.java
+++ b/src/main/java/sprucelanding/governor/Secrets.java
@@ -3,12 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermission;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sprucelanding.fleet.Packets;
@@ -19,7 +16,6 @@
  */
 public final class Secrets {
     private static final Logger LOG = LoggerFactory.getLogger(Secrets.class);
-    private static final Set<PosixFilePermission> OTHERS = PosixFilePermissions.fromString("---rwxrwx");
     private static final int LARGEST = 64 * 1024;
     private final Path file;
     private volatile Packets packets;
@@ -33,9 +29,7 @@
 
     private Packets read() throws IOException {
         readAt = Files.getLastModifiedTime(file).toMillis();
-        if (Files.getPosixFilePermissions(file).stream().anyMatch(OTHERS::contains)) {
-            throw new IOException(file + ": others than its owner may use it; expected mode 600");
-        }
+        OwnFile.secret(file);
         if (Files.size(file) > LARGEST) {
             throw new IOException(file + ": more than " + LARGEST + " bytes");
         }
--- a/src/main/java/sprucelanding/netconf/Device.java
+++ b/src/main/java/sprucelanding/netconf/Device.java
@@ -71,7 +71,7 @@
         framing = new Framing(front.largest(), this::message);
         holder = new Holder(number, Holder.Form.EDITS, this);
         if (front.shares()) { // nothing is written before the core says that it may, not even what an earlier session left undone
-            holder.leased(Double.NEGATIVE_INFINITY, 0);
+            holder.withheld();
         }
         line.write(framing.framed(Words.hello()));
     }
--- a/src/main/java/sprucelanding/netconf/Keys.java
+++ b/src/main/java/sprucelanding/netconf/Keys.java
@@ -3,26 +3,23 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.attribute.PosixFilePermission;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.security.GeneralSecurityException;
 import java.security.KeyPair;
 import java.security.PublicKey;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.apache.sshd.common.config.keys.AuthorizedKeyEntry;
 import org.apache.sshd.common.config.keys.KeyUtils;
 import org.apache.sshd.common.config.keys.PublicKeyEntryResolver;
 import org.apache.sshd.common.keyprovider.FileKeyPairProvider;
+import sprucelanding.governor.OwnFile;
 
 /**
  * The governor's own key and the devices' pinned host keys, from files; read anew on each use that finds a file changed, so
  * that keys can be replaced in service. A device's file has lines of its name and its public key, as OpenSSH writes keys.
  */
 public final class Keys {
-    private static final Set<PosixFilePermission> OTHERS = PosixFilePermissions.fromString("---rwxrwx");
     private final Path own;
     private final Path devices;
     private long ownAt = -1;
@@ -39,9 +36,7 @@
     public synchronized KeyPair own() throws IOException {
         long at = Files.getLastModifiedTime(own).toMillis();
         if (at != ownAt) {
-            if (Files.getPosixFilePermissions(own).stream().anyMatch(OTHERS::contains)) {
-                throw new IOException(own + ": others than its owner may use it; expected mode 600");
-            }
+            OwnFile.secret(own);
             pair = new FileKeyPairProvider(own).loadKeys(null).iterator().next();
             ownAt = at;
         }
--- a/src/main/java/sprucelanding/records/Reader.java
+++ b/src/main/java/sprucelanding/records/Reader.java
@@ -345,9 +345,7 @@
                     break;
                 }
             }
-            while (v instanceof Value.Either e && e.preferred != null) {
-                v = e.preferred;
-            }
+            v = v == null ? null : v.chosen();
             if (!(v instanceof Value.Plain p)) {
                 faults.add(at + ": \\(" + m.group(1) + "): there is no such value");
             }
--- a/src/main/java/sprucelanding/records/Records.java
+++ b/src/main/java/sprucelanding/records/Records.java
@@ -33,10 +33,8 @@
     public static <T extends Record> T read(Path file, String schema, String definition, Class<T> into)
             throws Invalid, IOException {
         List<String> faults = new ArrayList<>();
-        Map<String, Value> known = new HashMap<>();
-        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, into))));
-        Value.Rec given = new Reader(known, new Folder(file), faults).read(Folder.sources(file));
-        return bound(known.get(definition), given, into, faults);
+        Value whole = whole(file, schema, definition, into, faults);
+        return bound(whole, into, faults);
     }
 
     /**
@@ -45,10 +43,7 @@
      */
     public static List<Shown> show(Path file, String schema, String definition, Class<?> beside) throws Invalid, IOException {
         List<String> faults = new ArrayList<>();
-        Map<String, Value> known = new HashMap<>();
-        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, beside))));
-        Value.Rec given = new Reader(known, new Folder(file), faults).read(Folder.sources(file));
-        Value whole = faults.isEmpty() ? new Unify(faults).meet(known.get(definition), given, "") : given;
+        Value whole = whole(file, schema, definition, beside, faults);
         if (!faults.isEmpty()) {
             throw new Invalid(faults);
         }
@@ -77,10 +72,7 @@
     }
 
     private static void shown(Value v, String field, List<Shown> to) {
-        Value chosen = v;
-        while (chosen instanceof Value.Either e && e.preferred != null) {
-            chosen = e.preferred;
-        }
+        Value chosen = v.chosen();
         if (chosen instanceof Value.Rec rec) {
             rec.fields.forEach((name, each) -> {
                 boolean preset = each instanceof Value.Either e && e.preferred != null;
@@ -107,26 +99,36 @@
     public static <T extends Record> T parse(String name, String text, String overName, String over, String schema,
             String definition, Class<T> into) throws Invalid {
         List<String> faults = new ArrayList<>();
-        Map<String, Value> known = new HashMap<>();
-        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, into))));
+        Map<String, Value> known = definitions(schema, into, faults);
         Value.Rec given = new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(name, text)));
         if (over != null) {
             lay(given, new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(overName, over))));
         }
-        return bound(known.get(definition), given, into, faults);
+        return bound(met(known.get(definition), given, faults), into, faults);
     }
 
-    private static <T extends Record> T bound(Value definition, Value.Rec given, Class<T> into, List<String> faults) throws Invalid {
-        if (faults.isEmpty()) {
-            Value whole = new Unify(faults).meet(definition, given, "");
-            if (faults.isEmpty()) {
-                Object bound = new Bind(faults).bind(whole, into, "");
-                if (faults.isEmpty()) {
-                    return into.cast(bound);
-                }
-            }
+    /** What a file or folder and a definition come to; faults are added. */
+    private static Value whole(Path file, String schema, String definition, Class<?> beside, List<String> faults) throws IOException {
+        Map<String, Value> known = definitions(schema, beside, faults);
+        return met(known.get(definition), new Reader(known, new Folder(file), faults).read(Folder.sources(file)), faults);
+    }
+
+    private static Map<String, Value> definitions(String schema, Class<?> beside, List<String> faults) {
+        Map<String, Value> known = new HashMap<>();
+        new Reader(known, Reader.Library.NONE, faults).read(List.of(new Reader.Source(schema, resource(schema, beside))));
+        return known;
+    }
+
+    private static Value met(Value definition, Value.Rec given, List<String> faults) {
+        return faults.isEmpty() ? new Unify(faults).meet(definition, given, "") : given;
+    }
+
+    private static <T extends Record> T bound(Value whole, Class<T> into, List<String> faults) throws Invalid {
+        Object bound = faults.isEmpty() ? new Bind(faults).bind(whole, into, "") : null;
+        if (!faults.isEmpty()) {
+            throw new Invalid(faults);
         }
-        throw new Invalid(faults);
+        return into.cast(bound);
     }
 
     private static void lay(Value.Rec under, Value.Rec over) {
@@ -158,10 +160,7 @@
         }
 
         Object bind(Value v, Type type, String field) {
-            Value chosen = v;
-            while (chosen instanceof Value.Either e && e.preferred != null) {
-                chosen = e.preferred;
-            }
+            Value chosen = v.chosen();
             Class<?> plain = (Class<?>) (type instanceof ParameterizedType p ? p.getRawType() : type);
             if (plain == List.class) {
                 return list(chosen, (ParameterizedType) type, field);
--- a/src/main/java/sprucelanding/records/Value.java
+++ b/src/main/java/sprucelanding/records/Value.java
@@ -181,6 +181,15 @@
         }
     }
 
+    /** What it comes to if nothing else is said: through alternatives, the starred ones. */
+    final Value chosen() {
+        Value v = this;
+        while (v instanceof Either e && e.preferred != null) {
+            v = e.preferred;
+        }
+        return v;
+    }
+
     static boolean same(Plain a, Plain b) {
         return Objects.equals(a.value, b.value);
     }
--- a/src/main/java/sprucelanding/standin/DeviceStand.java
+++ b/src/main/java/sprucelanding/standin/DeviceStand.java
@@ -228,8 +228,6 @@
 
     /** One dialling of a governor and the session on it. */
     private final class Connection implements Side {
-        private static final double LOOKS = 1000; // ms between looks whether the governor answers at all
-        private static final double SILENT = 1500; // ms without an answer
         private static final String ALIVE = "keepalive@openssh.com";
         private final Loop loop;
         private final int port;
--- a/src/main/java/sprucelanding/standin/XdsPeer.java
+++ b/src/main/java/sprucelanding/standin/XdsPeer.java
@@ -58,8 +58,6 @@
     static final String LEDS = TYPES + LbEndpoint.getDescriptor().getFullName();
     static final String RDS = TYPES + RouteConfiguration.getDescriptor().getFullName();
 
-    private static final double LOOKS = 1000; // ms between looks whether the governor answers at all
-    private static final long SILENT = 1500; // ms without an answer
     private static final MethodDescriptor.Marshaller<byte[]> BYTES = new MethodDescriptor.Marshaller<>() {
         @Override
         public InputStream stream(byte[] value) {
@@ -191,7 +189,7 @@
         if (closed) {
             return;
         }
-        ClientCalls.asyncUnaryCall(channel.newCall(ALIVE, CallOptions.DEFAULT.withDeadlineAfter(SILENT, TimeUnit.MILLISECONDS)),
+        ClientCalls.asyncUnaryCall(channel.newCall(ALIVE, CallOptions.DEFAULT.withDeadlineAfter((long) SILENT, TimeUnit.MILLISECONDS)),
                 new byte[0], new StreamObserver<>() {
                     @Override
                     public void onNext(byte[] none) {
--- a/src/main/java/sprucelanding/station/Parts.java
+++ b/src/main/java/sprucelanding/station/Parts.java
@@ -77,8 +77,7 @@
         }
         int zone = p.zone() == null ? -1 : positions(List.of(p.zone()), s.zones(), "peers.zone").nextSetBit(0);
         Leases leases = new Leases(p.number(), life, all, p.lease(), DRIFT, p.lease() * (1 + DRIFT), now);
-        return new Sharing(p.number(),
-                new Peers(p.number(), life, numbers, p.lease() / BEATS, p.lease() / SILENCES, p.lease() / SILENCES), leases,
+        return new Sharing(new Peers(p.number(), life, numbers, p.lease() / BEATS, p.lease() / SILENCES, p.lease() / SILENCES), leases,
                 new Share(p.number(), leases, p.room(), zone, now),
                 new Recall(p.number(), life, s.reports().every(), 1.5 * s.reports().every(), p.hints(), now));
     }
--- a/src/test/java/sprucelanding/fleet/FakeFleet.java
+++ b/src/test/java/sprucelanding/fleet/FakeFleet.java
@@ -156,7 +156,7 @@
                 nodes.forEach(n -> all.add(n.id));
                 peers = new Peers(id, life, all, 100, 500, 500);
                 leases = new Leases(id, life, nodes.size(), LEASE, DRIFT, quarantine, clock());
-                sharing = new Sharing(id, peers, leases, new Share(id, leases, room, 0, clock()),
+                sharing = new Sharing(peers, leases, new Share(id, leases, room, 0, clock()),
                         new Recall(id, life, 1000, 300, false, clock()));
             }
         }
--- a/src/test/java/sprucelanding/governor/FellowsTest.java
+++ b/src/test/java/sprucelanding/governor/FellowsTest.java
@@ -123,7 +123,7 @@
 
     private Governor.Fellows fellows(InetSocketAddress here, InetSocketAddress other, double lease) throws Exception {
         Leases leases = new Leases(0, 1000, 3, lease, 0.02, 0, Loop.now());
-        return new Governor.Fellows(new Sharing(0, new Peers(0, 1000, java.util.Set.of(0, 1, 2), 100, 500, 500), leases,
+        return new Governor.Fellows(new Sharing(new Peers(0, 1000, java.util.Set.of(0, 1, 2), 100, 500, 500), leases,
                 new Share(0, leases, 64, 0, Loop.now()), new Recall(0, 1000, 1000, 0, false, Loop.now())), here,
                 Map.of(1, other), new Secrets(secret(HexFormat.of().formatHex(KEY))), new Lives(null, 1000));
     }
