A stream that ended is not cut again, nor a newer one for it

Cause: Delivery looks who is behind and the cut is carried out later in the round; the stream may have ended between, more often since governors end streams for one another. Round then failed with an exception, or dropped the proxy's newer stream.

Change: Round carries a cut out only on the very stream that was looked at.

--- a/src/main/java/sprucelanding/core/Round.java
+++ b/src/main/java/sprucelanding/core/Round.java
@@ -451,6 +451,9 @@
         @Override
         public void cut(Holder holder, String why) {
             Dialled d = dialled.get(holder.id);
+            if (d == null || d.holder != holder) {
+                return; // it ended since it was looked at, or the proxy is on a newer one already
+            }
             host.log("a stream is cut", "proxy", holder.id, "why", why);
             drop(holder.id);
             host.end(d.way, holder, false, why);
