serve: a governor in service on the platform's protocol, from its posting to its streams

Need: the program had no front that speaks the platform's protocol on sockets.

Change: `serve`, started straight from Main. `opening` is the reading of the settings object, now shared with the adapter. `updates` keeps what was ordered and turns one moment's orders into at most one message for each joined proxy. `platform` carries streams, collectors, the watch on discovery and probes on one loop and one Choice. `loop` reads chunked bodies, shares one read buffer among connections, stops accepting for 50 ms where no descriptor is left, and needs no logging library where its owner takes the failures; Get is one GET, which the other governor's probe uses too.

--- a/src/main/java/sprucelanding/loop/Conn.java
+++ b/src/main/java/sprucelanding/loop/Conn.java
@@ -13,7 +13,7 @@
         default void connected(Conn conn) {
         }
 
-        /** The buffer is the connection's own: what is left in it is gone after the call. */
+        /** The buffer is the loop's: what is left in it is gone after the call. */
         void received(Conn conn, ByteBuffer in) throws IOException;
 
         /** Once; for a dialled connection also if it never came about. */
@@ -21,14 +21,11 @@
         }
     }
 
-    private static final int CHUNK = 16_384;
-
     private final Loop loop;
     private final SocketChannel channel;
     private final int mostUnread;
     private final Listener listener;
-    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
-    private final ByteBuffer in = ByteBuffer.allocate(CHUNK);
+    private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>(1);
     SelectionKey key;
     private int unread;
     private boolean open = true;
@@ -116,7 +113,8 @@
         }
     }
 
-    void end(String why) {
+    /** Closes it for that reason. */
+    public void end(String why) {
         if (open) {
             open = false;
             out.clear();
@@ -148,7 +146,7 @@
     }
 
     private void read() throws IOException {
-        in.clear();
+        ByteBuffer in = loop.in.clear();
         int n = channel.read(in);
         if (n < 0) {
             end("closed by the peer");
--- a/src/main/java/sprucelanding/loop/Http.java
+++ b/src/main/java/sprucelanding/loop/Http.java
@@ -1,5 +1,6 @@
 package sprucelanding.loop;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -9,12 +10,13 @@
 import java.util.function.Consumer;
 
 /**
- * HTTP/1.1 messages (RFC 9112) with a stated length, read as their bytes come. A message past the bounds, or one that
+ * HTTP/1.1 messages (RFC 9112) with a stated length or in chunks, read as their bytes come. A message past the bounds, or one that
  * does not follow the grammar, is an IOException, and the connection is of no more use.
  */
 public final class Http {
     private static final int HEAD = 8192;
     private static final int BODY = 1 << 20;
+    private static final int CHUNK_LINE = 256;
 
     /** One message; of a request first is its method and second its target, of a response second is its status. */
     public record Message(String first, String second, Map<String, String> headers, byte[] body) {
@@ -51,12 +53,17 @@
     private ByteBuffer body;
     private boolean endless;
     private Consumer<byte[]> stream;
+    /** In chunks: what is left of this one, -1 before its size line, -2 before the empty line that ends it. */
+    private boolean chunked;
+    private int chunk;
+    private final StringBuilder size = new StringBuilder();
+    private ByteArrayOutputStream pieces;
 
     public Http(Consumer<Message> read) {
         this.read = read;
     }
 
-    /** Bodies without a stated length, of event streams, go there piece by piece after their head. */
+    /** Bodies without a stated length, of event streams and watches, go there piece by piece after their head. */
     public Http streaming(Consumer<byte[]> pieces) {
         stream = pieces;
         return this;
@@ -64,7 +71,9 @@
 
     public void received(ByteBuffer in) throws IOException {
         while (in.hasRemaining()) {
-            if (endless) {
+            if (chunked) {
+                chunked(in);
+            } else if (endless) {
                 byte[] piece = new byte[in.remaining()];
                 in.get(piece);
                 stream.accept(piece);
@@ -103,6 +112,16 @@
             }
             headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).trim());
         }
+        if (headers.getOrDefault("transfer-encoding", "").toLowerCase(Locale.ROOT).endsWith("chunked")) {
+            open = new Message(start[0], start[1], headers, new byte[0]);
+            chunked = true;
+            chunk = -1;
+            pieces = new ByteArrayOutputStream();
+            if (stream != null) {
+                read.accept(open);
+            }
+            return;
+        }
         String length = headers.getOrDefault("content-length", "0");
         int size;
         try {
@@ -123,6 +142,53 @@
         finished();
     }
 
+    private void chunked(ByteBuffer in) throws IOException {
+        if (chunk > 0) {
+            byte[] piece = new byte[Math.min(chunk, in.remaining())];
+            in.get(piece);
+            chunk -= piece.length;
+            chunk = chunk == 0 ? -2 : chunk;
+            if (stream != null) {
+                stream.accept(piece);
+            } else if (pieces.size() + piece.length > BODY) {
+                throw new IOException("a body of more than " + BODY + " bytes");
+            } else {
+                pieces.write(piece);
+            }
+            return;
+        }
+        char c = (char) in.get();
+        if (c != '\n') {
+            if (size.append(c).length() > CHUNK_LINE) {
+                throw new IOException("a chunk without a size");
+            }
+            return;
+        }
+        String line = size.toString().trim();
+        size.setLength(0);
+        if (chunk == -2) {
+            chunk = -1;
+        } else if (chunk == 0) { // trailers, up to an empty line
+            if (line.isEmpty()) {
+                chunked = false;
+                Message whole = new Message(open.first, open.second, open.headers, pieces.toByteArray());
+                open = null;
+                if (stream == null) {
+                    read.accept(whole);
+                }
+            }
+        } else {
+            try {
+                chunk = Integer.parseInt(line.split(";", 2)[0].trim(), 16);
+            } catch (NumberFormatException e) {
+                throw new IOException("a chunk without a size");
+            }
+            if (chunk < 0) {
+                throw new IOException("a chunk without a size");
+            }
+        }
+    }
+
     private void finished() {
         if (!body.hasRemaining()) {
             Message whole = open;
--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -14,8 +14,6 @@
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The loop: select until the next due time, then what is ready, what is due, what was handed over. */
 public final class Loop implements Runnable, AutoCloseable {
@@ -47,14 +45,18 @@
         }
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     private static final int MAILBOX = 65_536;
     private static final int HANDED_AT_ONCE = 4096;
     private static final int DATAGRAM = 2048;
     private static final int DATAGRAMS_AT_ONCE = 256;
+    private static final int ACCEPTED_AT_ONCE = 64;
+    private static final int CHUNK = 16_384;
+    private static final double FULL = 50; // ms without accepting where no descriptor is left
 
-    private final String name;
+    private final BiConsumer<String, Throwable> failed;
     private final Selector selector;
+    /** What is read goes through it; nothing of it outlasts a call. */
+    final ByteBuffer in = ByteBuffer.allocateDirect(CHUNK);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Mailbox<Runnable> mailbox = new Mailbox<>(MAILBOX);
     private long order;
@@ -62,8 +64,14 @@
     private volatile Thread thread;
     private Runnable afterEach = () -> { };
 
+    /** What fails on it is logged under its name. */
     public Loop(String name) {
-        this.name = name;
+        this(name, (what, cause) -> Logged.failed(name, what, cause));
+    }
+
+    /** Failed hears what went wrong in a step; the loop goes on. */
+    public Loop(String name, BiConsumer<String, Throwable> failed) {
+        this.failed = failed;
         try {
             selector = Selector.open();
         } catch (IOException e) {
@@ -131,8 +139,19 @@
             server.bind(at, backlog);
             server.configureBlocking(false);
             Ready ready = key -> {
-                for (SocketChannel each = server.accept(); each != null; each = server.accept()) {
-                    accepted.accept(each);
+                try {
+                    SocketChannel each = server.accept();
+                    for (int n = 1; each != null; n++) {
+                        accepted.accept(each);
+                        each = n < ACCEPTED_AT_ONCE ? server.accept() : null;
+                    }
+                } catch (IOException e) { // no descriptor is left: what waits would wake the selector again and again
+                    key.interestOps(0);
+                    in(FULL, () -> {
+                        if (key.isValid()) {
+                            key.interestOps(SelectionKey.OP_ACCEPT);
+                        }
+                    });
                 }
             };
             server.register(selector, SelectionKey.OP_ACCEPT, ready);
@@ -215,7 +234,7 @@
             } catch (ClosedSelectorException e) {
                 break;
             } catch (IOException e) {
-                LOG.atError().addKeyValue("loop", name).setCause(e).log("the selector failed");
+                failed.accept("the selector failed", e);
                 break;
             }
         }
@@ -225,7 +244,7 @@
             }
             selector.close();
         } catch (IOException | ClosedSelectorException e) {
-            LOG.atDebug().addKeyValue("loop", name).setCause(e).log("closing");
+            // it ends anyway
         }
     }
 
@@ -269,7 +288,7 @@
         try {
             step.run();
         } catch (IOException | RuntimeException e) {
-            LOG.atError().addKeyValue("loop", name).setCause(e).log("a step failed");
+            failed.accept("a step failed", e);
         }
     }
 
--- a/src/main/java/sprucelanding/wire/Opening.java
+++ b/src/main/java/sprucelanding/opening/Opening.java
@@ -1,30 +1,68 @@
-package sprucelanding.wire;
+package sprucelanding.opening;
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import sprucelanding.Choice;
 import sprucelanding.Product;
 
-/** Reads the settings object of BORN and opens a Choice with it. Unknown keys are left alone. */
-final class Opening {
+/** Reads the settings object and opens a Choice with it; throws Malformed. Unknown keys are left alone. */
+public final class Opening {
     private static final double US_PER_MS = 1000;
 
     private final JsonObject root;
 
-    Opening(String text) {
+    public Opening(String text) {
         try {
             root = Json.parse(text).asObject();
         } catch (ParseException | UnsupportedOperationException e) {
-            throw new Malformed("BORN settings are no JSON object: " + e.getMessage());
+            throw new Malformed("settings are no JSON object: " + e.getMessage());
         }
     }
 
-    int loadColumn() {
+    public Opening(JsonObject settings) {
+        root = settings;
+    }
+
+    /** The names of this list, "classes" for one, in its order. */
+    public List<String> names(String list) {
+        JsonValue all = root.get(list);
+        List<String> names = new ArrayList<>();
+        for (JsonValue each : all != null && all.isArray() ? all.asArray() : new JsonArray()) {
+            JsonValue name = each.isObject() ? each.asObject().get("name") : each;
+            names.add(name != null && name.isString() ? name.asString() : "");
+        }
+        return names;
+    }
+
+    /** How many proxies there are, numbered from 0. */
+    public int proxies() {
+        return wellTyped(() -> part("familyInfo").getInt("proxies", 0));
+    }
+
+    /** ms that pass between two moments of deciding at least. */
+    public double tick() {
+        return wellTyped(() -> ms(root, "tickUs", 5000));
+    }
+
+    /** ms that a connection to a replica may take to come up. */
+    public double connects() {
+        return wellTyped(() -> ms(part("ceilings"), "connectTimeoutUs", 250_000));
+    }
+
+    /** Whether replicas tell their load to probes. */
+    public boolean reports() {
+        return wellTyped(() -> !part("report").getString("how", "none").equals("none"));
+    }
+
+    public int loadColumn() {
         JsonValue names = part("report").get("names");
         int column = 0;
         if (names != null && names.isArray()) {
@@ -38,11 +76,15 @@
         return -1;
     }
 
-    Choice choice(long seed) {
+    public Choice choice(long seed) {
+        return wellTyped(() -> build(seed));
+    }
+
+    private static <T> T wellTyped(Supplier<T> read) {
         try {
-            return build(seed);
+            return read.get();
         } catch (UnsupportedOperationException | NumberFormatException e) {
-            throw new Malformed("BORN settings hold a value of the wrong type: " + e.getMessage());
+            throw new Malformed("settings hold a value of the wrong type: " + e.getMessage());
         }
     }
 
@@ -69,7 +111,7 @@
     private Product[] products(JsonObject info) {
         JsonValue classes = root.get("classes");
         if (classes == null || !classes.isArray() || classes.asArray().isEmpty()) {
-            throw new Malformed("BORN settings name no classes");
+            throw new Malformed("settings name no classes");
         }
         JsonArray all = classes.asArray();
         JsonValue home = info.get("homeOnly");
--- /dev/null
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -0,0 +1,233 @@
+package sprucelanding.platform;
+
+import com.eclipsesource.json.JsonObject;
+import java.net.InetSocketAddress;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sprucelanding.Choice;
+import sprucelanding.Orders;
+import sprucelanding.Product;
+import sprucelanding.Proxy;
+import sprucelanding.Replica;
+import sprucelanding.loop.Get;
+import sprucelanding.loop.Http;
+import sprucelanding.loop.Loop;
+import sprucelanding.opening.Opening;
+import sprucelanding.updates.Keeps;
+import sprucelanding.updates.Update;
+
+/**
+ * Where all that is heard comes to the decision module, and its orders go out. Inputs only note; the module decides at most once
+ * a tick, and what it orders then is one moment. The module's clock is Unix time as of the start, going on monotonically.
+ */
+final class Desk implements Orders {
+    /** A joined proxy's stream. */
+    interface Stream {
+        /** Receipt: asked for with it, or Update.NONE. */
+        void write(byte[] update, int receipt);
+
+        /** The proxy has begun a newer one. */
+        void over();
+    }
+
+    private static final double ANSWERS = 400; // ms for a probe beyond what its connection may take
+
+    private final Loop loop;
+    private final Said said;
+    private final Choice choice;
+    private final Keeps keeps;
+    private final Names names;
+    private final Words words;
+    private final double epoch = System.currentTimeMillis() - Loop.now();
+    private final double tick;
+    private final double connects;
+    private final boolean reports;
+    private final List<String> products;
+    private final Map<Integer, Stream> streams = new HashMap<>();
+    private boolean due;
+    private double settledAt;
+    int probing;
+    long messages;
+    long lines;
+
+    Desk(Loop loop, Said said, Opening opening, long seed) {
+        this.loop = loop;
+        this.said = said;
+        choice = opening.choice(seed);
+        tick = opening.tick();
+        connects = opening.connects();
+        reports = opening.reports();
+        products = opening.names("classes");
+        names = new Names(opening.names("zones"), opening.names("kinds"));
+        keeps = new Keeps(products.size(), r -> names.of(r.id).doubted);
+        words = new Words(products, r -> names.of(r.id).uid);
+        choice.clock(clock());
+    }
+
+    private double clock() {
+        return Loop.now() + epoch;
+    }
+
+    /** For an input that comes now. */
+    private Choice hears() {
+        choice.clock(clock());
+        if (!due) {
+            due = true;
+            loop.at(Math.max(Loop.now(), settledAt + tick), this::settle);
+        }
+        return choice;
+    }
+
+    private void settle() {
+        due = false;
+        settledAt = Loop.now();
+        choice.clock(clock());
+        try {
+            while (choice.decide(this)) {
+                continue;
+            }
+        } catch (RuntimeException e) {
+            said.failed("a decision failed", e);
+        }
+        words.moment();
+        keeps.flush(this::send);
+    }
+
+    private void send(Update update) {
+        messages++;
+        lines += update.lines();
+        streams.get(update.proxy()).write(words.bytes(update), update.receipt());
+    }
+
+    /** Discovery's list or changes; first for the one held before this start. Throws Malformed. */
+    boolean list(JsonObject list, boolean first) {
+        return names.told(list, first, hears());
+    }
+
+    long revision() {
+        return names.revision();
+    }
+
+    /** The zone's number; -1 if there is none of that name. */
+    int zone(String name) {
+        return names.zone(name);
+    }
+
+    /** Whether discovery has ever named it. */
+    boolean knows(String uid) {
+        return names.of(uid) != null;
+    }
+
+    /** The product's number; -1 if there is none of that name. */
+    int product(String name) {
+        return products.indexOf(name);
+    }
+
+    /** A proxy's stream begins; one before it is left by that. Usual: txns a second. Bare: it brought no ordered table. */
+    void joined(int proxy, int zone, double usual, boolean bare, Stream stream) {
+        Stream before = streams.put(proxy, stream);
+        keeps.joined(proxy, bare);
+        hears().joined(proxy, zone, usual, bare);
+        if (before != null) {
+            before.over();
+        }
+    }
+
+    /** Its stream ended; nothing if a newer one of the proxy has begun. */
+    void left(int proxy, Stream stream) {
+        if (streams.remove(proxy, stream)) {
+            keeps.left(proxy);
+            hears().left(proxy);
+        }
+    }
+
+    int joined() {
+        return streams.size();
+    }
+
+    void inForce(int receipt) {
+        hears().inForce(receipt);
+    }
+
+    /** Tries at a replica that a zone's proxies made; load: NaN if none was told. */
+    void met(String uid, int tries, int voided, double answerTime, double load) {
+        hears().met(names.of(uid).id, tries, voided, answerTime, load);
+    }
+
+    void came(int proxy, int product, int count, double span) {
+        hears().came(proxy, product, count, span);
+    }
+
+    @Override
+    public void line(int table, Replica replica, double weight) {
+        keeps.line(table, replica, weight);
+    }
+
+    @Override
+    public void clear(int table) {
+        keeps.clear(table);
+    }
+
+    @Override
+    public void withdraw(Replica replica, boolean out) {
+        keeps.withdraw(replica, out);
+    }
+
+    @Override
+    public void level(int table, Product product, double letIn, int retry) {
+        keeps.level(table, product, letIn, retry);
+    }
+
+    @Override
+    public void bind(int table, Proxy proxy, BitSet mask) {
+        keeps.bind(table, proxy, mask);
+    }
+
+    @Override
+    public void receipt(int serial) {
+        keeps.receipt(serial);
+    }
+
+    @Override
+    public void probe(Replica replica) {
+        Named n = names.of(replica.id);
+        InetSocketAddress at = n.at;
+        probing++;
+        new Get(loop, at, null, reports ? "/status/load" : "/health", connects + ANSWERS, new Get.Told() {
+            @Override
+            public void answered(Http.Message m) {
+                probing--;
+                hears().probed(n.id, m.status() == 200 ? Choice.Answer.OK
+                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, Report.util(m.body()));
+            }
+
+            @Override
+            public void failed(boolean reached, boolean late) {
+                probing--;
+                hears().probed(n.id, late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
+            }
+        });
+    }
+
+    @Override
+    public void tellPeers(byte[] note) {
+        // no decision asks for it
+    }
+
+    @Override
+    public void watchList() {
+        // the watch is always open
+    }
+
+    @Override
+    public void timer(int tag, double at) {
+        loop.at(at - epoch, () -> hears().bell(tag));
+    }
+
+    @Override
+    public void log(String text) {
+        said.say(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/platform/Named.java
@@ -0,0 +1,24 @@
+package sprucelanding.platform;
+
+import java.net.InetSocketAddress;
+import sprucelanding.Choice;
+
+/** A replica as discovery names it. */
+final class Named {
+    final long id;
+    final String uid;
+    InetSocketAddress at;
+    Choice.Stage stage = Choice.Stage.GONE;
+    int zone;
+    int kind;
+    double weight = 1;
+    /** Its last start, Unix time in ms; 0 if long past. */
+    double startedAt;
+    /** It was away from the list at some time, or may have been: proxies that come from elsewhere may shun it. */
+    boolean doubted;
+
+    Named(long id, String uid) {
+        this.id = id;
+        this.uid = uid;
+    }
+}
--- /dev/null
+++ b/src/main/java/sprucelanding/platform/Names.java
@@ -0,0 +1,146 @@
+package sprucelanding.platform;
+
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sprucelanding.Choice;
+import sprucelanding.opening.Malformed;
+
+/** Replicas by the names that discovery gives them; ids are ours. It puts discovery's answers to the module. */
+final class Names {
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Map<String, Named> byUid = new LinkedHashMap<>();
+    private final Map<Long, Named> byId = new HashMap<>();
+    private long next = 1;
+    /** Discovery's number of the list as held; -1 while there is none. */
+    private long revision = -1;
+
+    Names(List<String> zones, List<String> kinds) {
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    Named of(String uid) {
+        return byUid.get(uid);
+    }
+
+    Named of(long id) {
+        return byId.get(id);
+    }
+
+    int zone(String name) {
+        return zones.indexOf(name);
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    int listed() {
+        return (int) byUid.values().stream().filter(n -> n.stage == Choice.Stage.READY).count();
+    }
+
+    /**
+     * Tells the module a list or changes; first for the one that was held before this start. False if some of it could not be
+     * read: then what could be read counts as changes, so that nothing that was known is lost. Throws Malformed if all is spoilt.
+     */
+    boolean told(JsonObject list, boolean first, Choice choice) {
+        JsonValue targets = list.get("targets");
+        JsonValue all = list.get("all");
+        JsonValue rev = list.get("rev");
+        if (targets == null || !targets.isArray() || all == null || !all.isBoolean() || !whole(rev)) {
+            throw new Malformed("no list: rev, all or targets is missing");
+        }
+        JsonArray entries = targets.asArray();
+        Set<Named> read = new LinkedHashSet<>();
+        int spoilt = 0;
+        for (JsonValue each : entries) {
+            Named n = each.isObject() ? entry(each.asObject()) : null;
+            if (n == null) {
+                spoilt++;
+            } else {
+                read.add(n);
+            }
+        }
+        boolean good = spoilt == 0;
+        boolean whole = all.asBoolean() && good;
+        choice.listOpens(whole, first);
+        for (Named n : read) {
+            n.doubted |= n.startedAt > 0 || n.stage != Choice.Stage.READY;
+            choice.listed(n.id, n.zone, n.kind, n.weight, n.startedAt, n.stage);
+        }
+        choice.listCloses();
+        if (whole) {
+            byUid.values().stream().filter(n -> !read.contains(n)).forEach(n -> {
+                n.stage = Choice.Stage.GONE;
+                n.doubted = true;
+            });
+        }
+        revision = good ? rev.asLong() : revision;
+        return good;
+    }
+
+    private Named entry(JsonObject e) {
+        JsonValue uid = e.get("uid");
+        JsonValue state = e.get("state");
+        if (uid == null || !uid.isString() || uid.asString().isEmpty() || state == null || !state.isString()) {
+            return null;
+        }
+        Choice.Stage stage = switch (state.asString()) {
+            case "ready" -> Choice.Stage.READY;
+            case "draining" -> Choice.Stage.DRAINING;
+            case "gone" -> Choice.Stage.GONE;
+            default -> null;
+        };
+        Named known = byUid.get(uid.asString());
+        JsonValue at = e.get("endpoint");
+        JsonValue az = e.get("az");
+        JsonValue boot = e.get("boot_ms");
+        JsonValue hint = e.get("capacity_hint");
+        JsonValue model = e.get("model");
+        boolean fits = stage != null && at != null && at.isString() && az != null && az.isString()
+                && zones.contains(az.asString()) && (boot == null || boot.isNumber() && boot.asDouble() >= 0)
+                && (hint == null || hint.isNumber() && hint.asDouble() >= 0);
+        if (!fits) {
+            if (stage == Choice.Stage.GONE && known != null) { // of one that is gone, the name says all
+                known.stage = stage;
+                return known;
+            }
+            return null;
+        }
+        java.net.InetSocketAddress endpoint;
+        try {
+            endpoint = Posting.address(at.asString(), "endpoint");
+        } catch (Malformed x) {
+            return null;
+        }
+        Named n = known;
+        if (n == null) {
+            n = new Named(next++, uid.asString());
+            byUid.put(n.uid, n);
+            byId.put(n.id, n);
+        }
+        n.at = endpoint;
+        n.zone = zones.indexOf(az.asString());
+        n.kind = model == null ? 0 : model.isNumber() ? model.asInt() : Math.max(0, kinds.indexOf(model.asString()));
+        n.weight = hint == null ? 1 : hint.asDouble();
+        n.startedAt = boot == null ? 0 : boot.asDouble();
+        n.stage = stage;
+        return n;
+    }
+
+    private static boolean whole(JsonValue value) {
+        if (value == null || !value.isNumber()) {
+            return false;
+        }
+        double d = value.asDouble();
+        return d == Math.rint(d) && Math.abs(d) < 1L << 53;
+    }
+}
--- a/src/main/java/sprucelanding/program/Main.java
+++ b/src/main/java/sprucelanding/program/Main.java
@@ -1,8 +1,9 @@
 package sprucelanding.program;
 
+import sprucelanding.platform.Serve;
 import sprucelanding.wire.Adapter;
 
-/** The program's door. The adapter starts at once; all else through Commands, which brings the libraries in. */
+/** The program's door. The adapter and the governor in service start at once; all else through Commands, which brings the libraries in. */
 public final class Main {
     private Main() {
     }
@@ -11,6 +12,9 @@
         if (args.length == 1 && args[0].equals("adapter")) {
             System.exit(new Adapter(System.in, System.out, System.err).run());
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Serve.run(System.getenv(), System.err));
+        }
         System.exit(Commands.run(args));
     }
 }
--- a/src/main/java/sprucelanding/wire/Adapter.java
+++ b/src/main/java/sprucelanding/wire/Adapter.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import sprucelanding.Choice;
+import sprucelanding.opening.Malformed;
+import sprucelanding.opening.Opening;
 
 /** Hosts instances of the decision module on the simulator's wire: batches in, one reply to each out. */
 public final class Adapter {
--- a/src/main/java/sprucelanding/wire/Line.java
+++ b/src/main/java/sprucelanding/wire/Line.java
@@ -1,6 +1,7 @@
 package sprucelanding.wire;
 
 import java.util.Base64;
+import sprucelanding.opening.Malformed;
 
 /** One line of the wire, cut at its tabs; fields are read by position and "-" is an absent one. */
 final class Line {
