serve: load reports are read under the names that the posting gives

Choice then steered by the listed weights alone.

Change: Opening.load names the share of CPU as the site does, Report is opened with that name. Usage may count more voided txns than came in its window: those of before. An out-of-memory or a stack too deep in one step is that step's failure, not the loop's end.

--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -287,7 +287,7 @@
     private void guarded(Step step) {
         try {
             step.run();
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | StackOverflowError | OutOfMemoryError e) {
             failed.accept("a step failed", e);
         }
     }
--- a/src/main/java/sprucelanding/opening/Opening.java
+++ b/src/main/java/sprucelanding/opening/Opening.java
@@ -33,7 +33,10 @@
 
     /** The names of this list, "classes" for one, in its order. */
     public List<String> names(String list) {
-        JsonValue all = root.get(list);
+        return texts(root.get(list));
+    }
+
+    private static List<String> texts(JsonValue all) {
         List<String> names = new ArrayList<>();
         for (JsonValue each : all != null && all.isArray() ? all.asArray() : new JsonArray()) {
             JsonValue name = each.isObject() ? each.asObject().get("name") : each;
@@ -62,18 +65,21 @@
         return wellTyped(() -> !part("report").getString("how", "none").equals("none"));
     }
 
+    /** The report's name for the share of CPU that is busy; empty if reports do not tell it. */
+    public String load() {
+        int column = loadColumn();
+        return column < 0 ? "" : reported().get(column);
+    }
+
+    /** Where that stands in a report's row; -1 if nowhere. */
     public int loadColumn() {
-        JsonValue names = part("report").get("names");
-        int column = 0;
-        if (names != null && names.isArray()) {
-            for (JsonValue name : names.asArray()) {
-                if (name.isString() && name.asString().equals("cpu_share")) {
-                    return column;
-                }
-                column++;
-            }
-        }
-        return -1;
+        List<String> names = reported();
+        int column = names.indexOf("cpu_share");
+        return column < 0 ? names.indexOf("util") : column;
+    }
+
+    private List<String> reported() {
+        return texts(part("report").get("names"));
     }
 
     public Choice choice(long seed) {
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -1,6 +1,7 @@
 package sprucelanding.platform;
 
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import java.net.InetSocketAddress;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
     private final double tick;
     private final double connects;
     private final boolean reports;
+    private final Report report;
     private final List<String> products;
     private final Map<Integer, Stream> streams = new HashMap<>();
     private boolean due;
@@ -59,6 +61,7 @@
         tick = opening.tick();
         connects = opening.connects();
         reports = opening.reports();
+        report = new Report(opening.load());
         products = opening.names("classes");
         names = new Names(opening.names("zones"), opening.names("kinds"));
         keeps = new Keeps(products.size(), r -> names.of(r.id).doubted);
@@ -151,9 +154,9 @@
         hears().inForce(receipt);
     }
 
-    /** Tries at a replica that a zone's proxies made; load: NaN if none was told. */
-    void met(String uid, int tries, int voided, double answerTime, double load) {
-        hears().met(names.of(uid).id, tries, voided, answerTime, load);
+    /** Tries at a replica that a zone's proxies made; told: its report, or null. */
+    void met(String uid, int tries, int voided, double answerTime, JsonValue told) {
+        hears().met(names.of(uid).id, tries, voided, answerTime, report.load(told));
     }
 
     void came(int proxy, int product, int count, double span) {
@@ -200,7 +203,7 @@
             public void answered(Http.Message m) {
                 probing--;
                 hears().probed(n.id, m.status() == 200 ? Choice.Answer.OK
-                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, Report.util(m.body()));
+                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, report.load(m.body()));
             }
 
             @Override
--- a/src/main/java/sprucelanding/platform/Visitor.java
+++ b/src/main/java/sprucelanding/platform/Visitor.java
@@ -147,7 +147,7 @@
             throw new Malformed("kind or sidecar names what does not exist");
         }
         int count = whole(m, "n", Integer.MAX_VALUE);
-        whole(m, "bad", count);
+        whole(m, "bad", Integer.MAX_VALUE); // of txns that came before, too
         desk.came(of, product, count, span(m));
     }
 
@@ -161,7 +161,7 @@
         int voided = whole(m, "bad", tries);
         double answerTime = number(m, "avg");
         span(m);
-        desk.met(host, tries, voided, answerTime, Report.util(m.get("report")));
+        desk.met(host, tries, voided, answerTime, m.get("report"));
     }
 
     private int zone(JsonObject m) {
