Cold servers start at their stated share, and a few proxies that rejoin do not hold them back

A trace of each turn (use, strain, what was let in, servers with a line) showed 16 of 30 servers with lines while ten that had started stood ready.

(2) Choice.comeIn laid each new server at a tenth of the mean whatever the site states of cold ones (85% here, warm after 1 s); at 1.5 a turn it takes six turns to the mean. (3) Choice.foresee counted lines that leave but not those that come, so that 54% use became a strain of 117%.

Change: the hold goes by the traffic of those that joined (15%), a server known to have started starts at its stated share for its age, what comes is foreseen like what leaves. Sums of proxies count again once a probe's load is 1.5 s old, not 3: in between a governor whose probes are paced had no fresh load at all. Probes are a class of their own.

Each of the three new stories of Choice fails without its change.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -174,7 +174,7 @@
         Replica r = replicas.get(id);
         if (r != null && tries > 0 && now >= r.deafUntil) {
             r.met(tries, Math.max(0, Math.min(voided, tries)), Math.max(0, answerTime), now);
-            r.reported(now - r.toldAt < stale ? Double.NaN : load, now); // a probe's is newer
+            r.reported(now - r.toldAt < stale / 2 ? Double.NaN : load, now); // a probe's is newer
             met = true;
         }
     }
@@ -331,8 +331,8 @@
             }
             wanted.remove(row);
             double want = want(row);
-            if (want == 0 && !row.replica.withZone && !t.users.isEmpty()) {
-                foresee(row.sent / sum(tables, x -> x.sent));
+            if ((want == 0 && !row.replica.withZone || row.sent == 0) && t.sent > 0 && !t.users.isEmpty()) {
+                foresee((row.sent - want) / sum(tables, x -> x.sent));
             }
             row.send(want);
             orderedAt = t.users.isEmpty() ? orderedAt : now;
@@ -513,8 +513,8 @@
         }
         admit(load, answerTime);
         boolean few = roll.stream().filter(r -> young(r, TENDER)).count() <= STAY_SICK * roll.size();
-        holdCold = few && (voidShare > COLD_VOIDED
-                || proxies.values().stream().anyMatch(p -> now - p.joinedAt < unmet));
+        double unknown = sum(proxies.values(), p -> now - p.joinedAt < unmet ? p.usual : 0);
+        holdCold = few && (voidShare > COLD_VOIDED || unknown > FEW * sum(proxies.values(), p -> p.usual));
         judge();
         cut(load);
         if (busy > 0) {
@@ -578,7 +578,8 @@
             if (t.open(r)) {
                 List<Replica> alike = roll.stream().filter(t::open).toList();
                 double share = r.listedWeight * alike.size() / sum(alike, x -> x.listedWeight) * coldShare(r);
-                double start = firstList ? SCALE / USUAL_LOAD * share : mean(t) * SLOW_START;
+                double part = r.startedAt > 0 && r.outUntil == NEVER ? coldShare(r) : SLOW_START;
+                double start = firstList ? SCALE / USUAL_LOAD * share : mean(t) * Math.max(SLOW_START, part);
                 t.line(r).weight = Math.max(1, Math.rint(start));
                 t.parts.forEach(p -> p.rows.computeIfPresent(r, (x, row) -> row.at(t.line(r).weight)));
             }
@@ -696,7 +697,7 @@
         }
     }
 
-    /** The others' load grows by this share: a replica left alone, or a proxy's traffic came (back). */
+    /** The others' load grows by this share: a replica left alone (less, if one came), or a proxy's traffic came. */
     private void foresee(double share) {
         for (int i = turns > LAG_TURNS ? past.size() : 0; i > 0; i--) {
             past.addLast(past.pollFirst() * Math.max(LEAST_LOAD, 1 - share));
--- a/src/main/java/sprucelanding/loop/Http.java
+++ b/src/main/java/sprucelanding/loop/Http.java
@@ -166,7 +166,7 @@
         }
         String line = size.toString().trim();
         size.setLength(0);
-        if (chunk == -2) {
+        if (chunk == -2 && line.isEmpty()) {
             chunk = -1;
         } else if (chunk == 0) { // trailers, up to an empty line
             if (line.isEmpty()) {
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -2,7 +2,6 @@
 
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import java.net.InetSocketAddress;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
@@ -12,8 +11,6 @@
 import sprucelanding.Product;
 import sprucelanding.Proxy;
 import sprucelanding.Replica;
-import sprucelanding.loop.Get;
-import sprucelanding.loop.Http;
 import sprucelanding.loop.Loop;
 import sprucelanding.opening.Opening;
 import sprucelanding.updates.Keeps;
@@ -33,8 +30,6 @@
         void over();
     }
 
-    private static final double ANSWERS = 400; // ms for a probe beyond what its connection may take
-
     private final Loop loop;
     private final Said said;
     private final Choice choice;
@@ -43,25 +38,23 @@
     private final Words words;
     private final double epoch = System.currentTimeMillis() - Loop.now();
     private final double tick;
-    private final double connects;
-    private final boolean reports;
     private final Report report;
+    private final Probes probes;
     private final List<String> products;
     private final Map<Integer, Stream> streams = new HashMap<>();
     private boolean due;
     private double settledAt;
-    int probing;
-    long messages;
-    long lines;
+    private long messages;
+    private long lines;
 
     Desk(Loop loop, Said said, Opening opening, long seed) {
         this.loop = loop;
         this.said = said;
         choice = opening.choice(seed);
         tick = opening.tick();
-        connects = opening.connects();
-        reports = opening.reports();
         report = new Report(opening.load());
+        probes = new Probes(loop, opening.reports(), opening.connects(), report,
+                (replica, answer, load) -> hears().probed(replica, answer, load));
         products = opening.names("classes");
         names = new Names(opening.names("zones"), opening.names("kinds"));
         keeps = new Keeps(products.size(), r -> names.of(r.id).doubted);
@@ -146,17 +139,19 @@
         }
     }
 
-    int joined() {
-        return streams.size();
+    /** Probes under way. */
+    int probing() {
+        return probes.open();
     }
 
     void inForce(int receipt) {
         hears().inForce(receipt);
     }
 
-    /** Tries at a replica that a zone's proxies made; told: its report, or null. */
+    /** Tries at a replica that a zone's proxies made; told: its report, or null. Throws Malformed. */
     void met(String uid, int tries, int voided, double answerTime, JsonValue told) {
-        hears().met(names.of(uid).id, tries, voided, answerTime, report.load(told));
+        double load = report.load(told);
+        hears().met(names.of(uid).id, tries, voided, answerTime, load);
     }
 
     void came(int proxy, int product, int count, double span) {
@@ -195,23 +190,7 @@
 
     @Override
     public void probe(Replica replica) {
-        Named n = names.of(replica.id);
-        InetSocketAddress at = n.at;
-        probing++;
-        new Get(loop, at, null, reports ? "/status/load" : "/health", connects + ANSWERS, new Get.Told() {
-            @Override
-            public void answered(Http.Message m) {
-                probing--;
-                hears().probed(n.id, m.status() == 200 ? Choice.Answer.OK
-                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, report.load(m.body()));
-            }
-
-            @Override
-            public void failed(boolean reached, boolean late) {
-                probing--;
-                hears().probed(n.id, late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
-            }
-        });
+        probes.ask(names.of(replica.id));
     }
 
     @Override
--- a/src/main/java/sprucelanding/platform/Door.java
+++ b/src/main/java/sprucelanding/platform/Door.java
@@ -46,7 +46,7 @@
         Visitor visitor = new Visitor(this, desk, proxies, Loop.now());
         strangers.add(visitor);
         visitor.conn = loop.adopt(channel, Visitor.UNREAD, visitor);
-        while (open + desk.probing + OWN > sockets && !strangers.isEmpty()) {
+        while (open + desk.probing() + OWN > sockets && !strangers.isEmpty()) {
             strangers.iterator().next().refuse("no room");
         }
     }
--- a/src/main/java/sprucelanding/platform/Report.java
+++ b/src/main/java/sprucelanding/platform/Report.java
@@ -1,10 +1,14 @@
 package sprucelanding.platform;
 
+import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.nio.charset.StandardCharsets;
+import sprucelanding.opening.Malformed;
 
 /** A replica's load report, as text after a probe and as an object among what proxies met. */
 final class Report {
+    private static final double MOST = 2; // reports are noisy, but not as much
+
     private final String name;
 
     /** Name: what the site calls the share of its CPU that is busy. */
@@ -28,13 +32,25 @@
         return Double.NaN;
     }
 
-    /** The same of an object; NaN if there is none. */
-    double load(JsonValue report) {
-        JsonValue load = report != null && report.isObject() ? report.asObject().get(name) : null;
-        return load != null && load.isNumber() ? share(load.asDouble()) : Double.NaN;
+    /** The same of an object; NaN if there is none. Throws Malformed if a figure in it cannot be. */
+    double load(JsonValue told) {
+        if (told == null || told.isNull()) {
+            return Double.NaN;
+        }
+        if (!told.isObject()) {
+            throw new Malformed("report is no object");
+        }
+        for (JsonObject.Member each : told.asObject()) {
+            double figure = each.getValue().isNumber() ? each.getValue().asDouble() : Double.NaN;
+            if (!(figure >= 0) || Double.isInfinite(figure) || each.getName().equals(name) && figure > MOST) {
+                throw new Malformed("report holds no such " + each.getName());
+            }
+        }
+        JsonValue load = told.asObject().get(name);
+        return load == null ? Double.NaN : load.asDouble();
     }
 
     private static double share(double load) {
-        return load >= 0 && Double.isFinite(load) ? load : Double.NaN;
+        return load >= 0 && load <= MOST ? load : Double.NaN;
     }
 }
--- a/src/main/java/sprucelanding/platform/Serve.java
+++ b/src/main/java/sprucelanding/platform/Serve.java
@@ -40,7 +40,7 @@
     }
 
     /** What a new posting does; nothing while the first is being read. */
-    private static final class Relay {
+    static final class Relay {
         private Runnable read = () -> { };
 
         void reads() {
@@ -48,7 +48,8 @@
         }
     }
 
-    private static void open(Loop loop, Said said, Path file, Relay relay) throws IOException {
+    /** All that runs on the loop, before it does; throws UncheckedIOException too. */
+    static void open(Loop loop, Said said, Path file, Relay relay) throws IOException {
         Posting posting = Posting.read(file);
         Desk desk = new Desk(loop, said, posting.opening(), posting.seed());
         if (posting.known() != null) {
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -298,6 +298,61 @@
         assertEquals(0, host.weight(1));
     }
 
+    @Test
+    void aFewProxiesThatComeAgainAndAgainDoNotHoldColdReplicasBack() {
+        FakeHost host = FakeHost.usual(6);
+        host.choice.joined(10, 0, 5, true);
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        host.change(1, host.now, Choice.Stage.READY);
+        host.run(3, () -> {
+            host.choice.joined(10, 0, 5, false);
+            well(host, 6, 0.5, 10);
+        });
+        assertTrue(host.weight(1) > 0);
+    }
+
+    @Test
+    void aReplicaThatStartedStartsAtWhatItCanDoAndOneThatWasOutAtATenth() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1), FakeHost.product(1, false, 2));
+        host.choice.roll(true, false, 0.8, 1000);
+        host.list(true, 6);
+        host.choice.joined(9, 0, 100, true);
+        host.settle();
+        host.run(5, () -> well(host, 6, 0.5, 10));
+        host.change(1, host.now, Choice.Stage.READY);
+        host.run(2, () -> well(host, 6, 0.5, 10));
+        assertTrue(host.weight(1) > 0.7 * host.weight(2), "new at " + host.weight(1) + " beside " + host.weight(2));
+        host.run(4, () -> {
+            well(host, 6, 0.5, 10);
+            host.choice.met(3, 60, 60, 0, 0.5);
+        });
+        assertEquals(0, host.weight(3));
+        for (int second = 0; host.weight(3) == 0 && second < 10; second++) {
+            host.run(1, () -> well(host, 6, 0.5, 10));
+        }
+        assertTrue(host.weight(3) > 0 && host.weight(3) < 0.3 * host.weight(2), "back at " + host.weight(3));
+    }
+
+    @Test
+    void whatComesAsOthersLeaveIsForeseenToo() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1), FakeHost.product(1, false, 2));
+        host.choice.roll(true, false, 0.9, 1000);
+        host.list(true, 8);
+        host.choice.joined(9, 0, 100, true);
+        host.settle();
+        host.run(8, () -> well(host, 8, 0.65, 10));
+        for (long id = 9; id <= 13; id++) {
+            host.change(id, host.now - 2000, Choice.Stage.READY);
+        }
+        host.run(2, () -> well(host, 8, 0.65, 10));
+        assertTrue(host.weight(13) > 0);
+        for (long id = 1; id <= 5; id++) {
+            host.change(id, 0, Choice.Stage.DRAINING);
+        }
+        host.run(3, () -> well(host, 13, 0.65, 10));
+        assertFalse(host.logged("declining"), host.log.toString());
+    }
+
     @Test
     void nearSaturationNoReplicaIsZeroedOrStarved() {
         FakeHost host = FakeHost.usual(6);
