Unfinished messages are bounded in all, streams that fall silent end, and what is long gone is forgotten

Change: 4 MiB of unfinished messages in all, past which the one that grows ends; a stream that owes an answer to a mark and says nothing for 10 s counts as left; Choice.forget drops replicas gone for a minute that no table names, Names those gone for three, and Keeps with it.

Excluded: ending silent streams sooner. A trace of 17 that fell silent showed their proxies back after 3 to 5.4 s of silence, and good streams with gaps of up to 4.2 s between two messages: nothing is won below that.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -189,6 +189,11 @@
         return Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
     }
 
+    /** Replicas in its books: a figure for the host's log. */
+    public int known() {
+        return replicas.size();
+    }
+
     public void came(int proxy, int product, int count, double span) {
         Proxy p = proxies.get(proxy);
         if (p != null && product >= 0 && product < products.length && span > 0 && count >= 0) {
@@ -483,7 +488,20 @@
         }
     }
 
+    /** What long is gone and in no table is kept no longer; ids are not used again. */
+    private void forget() {
+        Set<Replica> gone = new LinkedHashSet<>(replicas.values());
+        gone.removeIf(r -> r.stage != Stage.GONE || r.sent > 0 || now - r.goneAt < LONG_GONE);
+        barring.removeAll(gone);
+        again.removeAll(gone);
+        named.removeAll(gone);
+        tables.forEach(t -> t.rows.keySet().removeAll(gone));
+        replicas.values().removeAll(gone);
+        wanted = gone.isEmpty() ? wanted : null;
+    }
+
     private void turn() {
+        forget();
         double fade = Math.exp(-TURN / (strained ? LONG_MEMORY : MEMORY));
         double quick = Math.exp(-TURN / SHORT_MEMORY);
         for (Replica r : roll) {
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -99,7 +99,11 @@
 
     /** Discovery's list or changes; first for the one held before this start. Throws Malformed. */
     boolean list(JsonObject list, boolean first) {
-        return names.told(list, first, hears());
+        boolean good = names.told(list, first, clock(), hears());
+        if (names.forget(clock())) {
+            keeps.forget(r -> names.of(r.id) == null);
+        }
+        return good;
     }
 
     long revision() {
--- a/src/main/java/sprucelanding/platform/Door.java
+++ b/src/main/java/sprucelanding/platform/Door.java
@@ -1,8 +1,10 @@
 package sprucelanding.platform;
 
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import sprucelanding.loop.Loop;
 
@@ -11,6 +13,8 @@
     private static final int BACKLOG = 1024;
     private static final double JOINS = 1200; // ms for a connection to join
     private static final double LOOKS = 100; // ms
+    private static final double SILENT = 10_000; // ms without a word on a stream that owes an answer
+    private static final int HELD = 4 << 20; // bytes of unfinished messages in all
     private static final int OWN = 40; // descriptors of the program itself, and some to spare
 
     private final Loop loop;
@@ -20,7 +24,9 @@
     private final int sockets;
     /** Connections that have not joined, oldest first. */
     private final Set<Visitor> strangers = new LinkedHashSet<>();
+    private final Set<Visitor> streams = new LinkedHashSet<>();
     private int open;
+    private int held;
     private long refused;
     private long spoilt;
     private long refusedSaid;
@@ -45,7 +51,12 @@
         open++;
         Visitor visitor = new Visitor(this, desk, proxies, Loop.now());
         strangers.add(visitor);
-        visitor.conn = loop.adopt(channel, Visitor.UNREAD, visitor);
+        try {
+            visitor.conn = loop.adopt(channel, Visitor.UNREAD, visitor);
+        } catch (UncheckedIOException e) { // it is gone already
+            closed(visitor);
+            return;
+        }
         while (open + desk.probing() + OWN > sockets && !strangers.isEmpty()) {
             strangers.iterator().next().refuse("no room");
         }
@@ -56,6 +67,11 @@
         while (!strangers.isEmpty() && strangers.iterator().next().since < now - JOINS) {
             strangers.iterator().next().refuse("it did not join");
         }
+        for (Visitor each : List.copyOf(streams)) {
+            if (each.silentSince() < now - SILENT) {
+                each.conn.end("a stream that does not answer");
+            }
+        }
         if (refused - refusedSaid >= 100 || spoilt - spoiltSaid >= 100) {
             said.say(refused + " connections refused, " + spoilt + " messages dropped so far");
             refusedSaid = refused;
@@ -63,8 +79,17 @@
         }
     }
 
-    void joined(Visitor visitor) {
+    void joined(Visitor visitor, boolean proxy) {
         strangers.remove(visitor);
+        if (proxy) {
+            streams.add(visitor);
+        }
+    }
+
+    /** More bytes of an unfinished message are kept, or fewer; false if that is too much. */
+    boolean holds(int more) {
+        held += more;
+        return held <= HELD;
     }
 
     void refused(Visitor visitor, String why) {
@@ -83,5 +108,6 @@
     void closed(Visitor visitor) {
         open--;
         strangers.remove(visitor);
+        streams.remove(visitor);
     }
 }
--- a/src/main/java/sprucelanding/platform/Named.java
+++ b/src/main/java/sprucelanding/platform/Named.java
@@ -9,6 +9,8 @@
     final String uid;
     InetSocketAddress at;
     Choice.Stage stage = Choice.Stage.GONE;
+    /** When it was told to be gone, ms on the module's clock. */
+    double goneAt;
     int zone;
     int kind;
     double weight = 1;
--- a/src/main/java/sprucelanding/platform/Names.java
+++ b/src/main/java/sprucelanding/platform/Names.java
@@ -14,6 +14,8 @@
 
 /** Replicas by the names that discovery gives them; ids are ours. It puts discovery's answers to the module. */
 final class Names {
+    private static final double KEPT = 180_000; // ms for which one that is gone can still be named
+
     private final List<String> zones;
     private final List<String> kinds;
     private final Map<String, Named> byUid = new LinkedHashMap<>();
@@ -51,7 +53,7 @@
      * Tells the module a list or changes; first for the one that was held before this start. False if some of it could not be
      * read: then what could be read counts as changes, so that nothing that was known is lost. Throws Malformed if all is spoilt.
      */
-    boolean told(JsonObject list, boolean first, Choice choice) {
+    boolean told(JsonObject list, boolean first, double now, Choice choice) {
         JsonValue targets = list.get("targets");
         JsonValue all = list.get("all");
         JsonValue rev = list.get("rev");
@@ -74,12 +76,14 @@
         choice.listOpens(whole, first);
         for (Named n : read) {
             n.doubted |= n.startedAt > 0 || n.stage != Choice.Stage.READY;
+            n.goneAt = n.stage == Choice.Stage.GONE ? now : 0;
             choice.listed(n.id, n.zone, n.kind, n.weight, n.startedAt, n.stage);
         }
         choice.listCloses();
         if (whole) {
-            byUid.values().stream().filter(n -> !read.contains(n)).forEach(n -> {
+            byUid.values().stream().filter(n -> n.stage != Choice.Stage.GONE && !read.contains(n)).forEach(n -> {
                 n.stage = Choice.Stage.GONE;
+                n.goneAt = now;
                 n.doubted = true;
             });
         }
@@ -87,6 +91,12 @@
         return good;
     }
 
+    /** Drops the names of those long gone; the module has forgotten them by then. True if there were any. */
+    boolean forget(double now) {
+        byId.values().removeIf(n -> n.stage == Choice.Stage.GONE && now - n.goneAt > KEPT);
+        return byUid.values().removeIf(n -> !byId.containsKey(n.id));
+    }
+
     private Named entry(JsonObject e) {
         JsonValue uid = e.get("uid");
         JsonValue state = e.get("state");
--- a/src/main/java/sprucelanding/platform/Visitor.java
+++ b/src/main/java/sprucelanding/platform/Visitor.java
@@ -9,15 +9,17 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import sprucelanding.loop.Conn;
+import sprucelanding.loop.Loop;
 import sprucelanding.opening.Malformed;
 
 /** A connection at the door: nobody yet, then a proxy's stream or a zone's collector. A message is a JSON object on a line. */
 final class Visitor implements Conn.Listener, Desk.Stream {
     private enum Who { STRANGER, PROXY, COLLECTOR }
 
-    static final int UNREAD = 1 << 20;
+    static final int UNREAD = 256 << 10; // its proxy gives up at half of that
     private static final int LINE = 1 << 20;
     private static final int FIRST_LINE = 4096; // of one that has not joined
+    private static final double MOST = 1e7; // txns, or ms: nothing here comes near
     private static final int RECEIPTS = 64; // that may be open at once
     private static final byte[] PONG = "{\"msg\":\"pong\"}\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] REFUSED = "{\"msg\":\"refused\"}\n".getBytes(StandardCharsets.US_ASCII);
@@ -32,16 +34,21 @@
     private byte[] line = new byte[256];
     private int size;
     private final ArrayDeque<Integer> receipts = new ArrayDeque<>(4);
+    private double heardAt;
+    /** When the oldest answer that is owed was asked for; it moves on with each that comes. */
+    private double askedAt;
 
     Visitor(Door door, Desk desk, int proxies, double since) {
         this.door = door;
         this.desk = desk;
         this.proxies = proxies;
         this.since = since;
+        door.holds(line.length);
     }
 
     @Override
     public void received(Conn c, ByteBuffer in) {
+        heardAt = Loop.now();
         while (in.hasRemaining() && c.open()) {
             byte b = in.get();
             if (b == '\n') {
@@ -49,12 +56,19 @@
                 size = 0;
                 message(new String(line, 0, n, StandardCharsets.UTF_8));
                 if (n > FIRST_LINE) {
+                    door.holds(256 - line.length);
                     line = new byte[256];
                 }
             } else if (size >= (who == Who.STRANGER ? FIRST_LINE : LINE)) {
                 unreadable("a line without an end");
             } else {
-                line = size == line.length ? Arrays.copyOf(line, 2 * size) : line;
+                if (size == line.length) {
+                    if (!door.holds(size)) {
+                        unreadable("too much of it is unfinished");
+                        return;
+                    }
+                    line = Arrays.copyOf(line, 2 * size);
+                }
                 line[size++] = b;
             }
         }
@@ -92,7 +106,7 @@
                     case "collector" -> {
                         zone(m);
                         who = Who.COLLECTOR;
-                        door.joined(this);
+                        door.joined(this, false);
                     }
                     default -> throw new Malformed("it did not join first");
                 }
@@ -124,7 +138,7 @@
         }
         proxy = number;
         who = Who.PROXY;
-        door.joined(this);
+        door.joined(this, true);
         desk.joined(number, zone, share, standing.asBoolean(), this);
     }
 
@@ -137,6 +151,7 @@
         while (receipts.poll() != version) {
             continue;
         }
+        askedAt = Loop.now();
         desk.inForce(version);
     }
 
@@ -183,8 +198,8 @@
     private static double number(JsonObject m, String field) {
         JsonValue value = m.get(field);
         double number = value != null && value.isNumber() ? value.asDouble() : Double.NaN;
-        if (!(number >= 0) || Double.isInfinite(number)) {
-            throw new Malformed(field + " is no number of 0 or more");
+        if (!(number >= 0) || number > MOST) {
+            throw new Malformed(field + " is no number from 0 to " + (long) MOST);
         }
         return number;
     }
@@ -223,6 +238,7 @@
     @Override
     public void write(byte[] update, int receipt) {
         if (receipt >= 0) {
+            askedAt = receipts.isEmpty() ? Loop.now() : askedAt;
             receipts.add(receipt);
             if (receipts.size() > RECEIPTS) {
                 receipts.poll();
@@ -231,6 +247,11 @@
         conn.write(update);
     }
 
+    /** Since when it has owed an answer and said nothing, ms on the loop's clock. */
+    double silentSince() {
+        return receipts.isEmpty() ? Double.POSITIVE_INFINITY : Math.max(heardAt, askedAt);
+    }
+
     /** Its proxy has begun a newer stream. */
     @Override
     public void over() {
@@ -239,6 +260,7 @@
 
     @Override
     public void closed(Conn c, String why) {
+        door.holds(-line.length);
         door.closed(this);
         if (who == Who.PROXY) {
             desk.left(proxy, this);
--- a/src/main/java/sprucelanding/updates/Keeps.java
+++ b/src/main/java/sprucelanding/updates/Keeps.java
@@ -188,10 +188,11 @@
         }
     }
 
-    /** No list and no table names it any more. */
-    public void forget(Replica replica) {
-        withdrawn.remove(replica);
-        joined.values().forEach(held -> held.shut.remove(replica));
+    /** No list and no order will name these again. */
+    public void forget(Predicate<Replica> gone) {
+        withdrawn.removeIf(gone);
+        joined.values().forEach(held -> held.shut.removeIf(gone));
+        tables.values().forEach(kept -> kept.lines.keySet().removeIf(gone));
     }
 
     /** As Orders.receipt has it, for the messages of this moment. */
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -609,4 +609,16 @@
         host.run(2, () -> well(host, 20, 0.5, 10));
         assertTrue(host.orders.contains("lift 3"), "and let back in when it is listed again");
     }
+
+    @Test
+    void replicasLongGoneAreForgotten() {
+        FakeHost host = FakeHost.usual(6);
+        for (long id = 7; id < 107; id++) {
+            host.change(id, host.now, Choice.Stage.READY);
+            host.change(id - 6, 0, Choice.Stage.GONE);
+            host.run(2, () -> well(host, 6, 0.5, 10));
+        }
+        assertTrue(host.choice.known() < 45, "it knows " + host.choice.known());
+        assertEquals(6, host.tables.get(0).values().stream().filter(weight -> weight > 0).count(), 1);
+    }
 }
--- a/src/test/java/sprucelanding/platform/ServeTest.java
+++ b/src/test/java/sprucelanding/platform/ServeTest.java
@@ -155,6 +155,47 @@
         }
     }
 
+    @Test
+    void unfinishedMessagesAreBoundedInAll() throws IOException {
+        try (Place place = new Place(folder)) {
+            Place.Peer good = place.stream(59);
+            List<Place.Peer> streams = new ArrayList<>();
+            for (int proxy = 0; proxy < 12; proxy++) {
+                Place.Peer peer = place.stream(proxy);
+                streams.add(peer);
+                try {
+                    peer.say("{\"msg\":\"ping\",\"pad\":\"" + "x".repeat(600_000));
+                } catch (IOException e) {
+                    // ended before it had said all
+                }
+            }
+            int kept = 0;
+            for (Place.Peer each : streams) {
+                try {
+                    each.say("\"}\n");
+                } catch (IOException e) {
+                    // ended before
+                }
+                String line = each.line();
+                kept += line != null && line.contains("pong") ? 1 : 0;
+            }
+            assertTrue(kept > 0 && kept < 12, kept + " were kept");
+            good.say("{\"msg\":\"ping\"}\n");
+            assertNotNull(good.until("pong"));
+        }
+    }
+
+    @Test
+    void aStreamThatOwesAnAnswerAndFallsSilentIsEnded() throws IOException {
+        try (Place place = new Place(folder)) {
+            Place.Peer silent = place.stream(4);
+            while (silent.line() != null) {
+                continue;
+            }
+            assertTrue(place.said("serves"));
+        }
+    }
+
     @Test
     void bytesThatCannotBeReadEndAStream() throws IOException {
         try (Place place = new Place(folder)) {
