--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -49,7 +49,7 @@
     private static final int HANDED_AT_ONCE = 4096;
     private static final int DATAGRAM = 2048;
     private static final int DATAGRAMS_AT_ONCE = 256;
-    private static final int ACCEPTED_AT_ONCE = 64;
+    private static final int ACCEPTED_AT_ONCE = 16; // what is closed gives its descriptor back at the next select only
     private static final int CHUNK = 16_384;
     private static final double FULL = 50; // ms without accepting where no descriptor is left
 
