--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -38,7 +38,7 @@
     private static final double MOST_EXTRA = 1, FORESEEN = 0.95, USUAL_ANSWER = 0.5; // load; part of SLA time
     private static final double USUAL = 0.6, URGENT = 0.75, VITAL = 0.9, ALL = 1; // of its limits
     private static final double LOOSE = 0.85, TRUSTED = 0.5; // all but rules, in lines; of the stated pace
-    private static final double MUST = 4, FILL = 3, SOON = 2, COMES = 1, MOVED = 8; // ranks; the rest by means moved
+    private static final double MUST = 4, FILL = 3, SOON = 2, COMES = 1, MOVED = 8; // ranks; means moved
     private static final double PROBE_EVERY = 1000, PROBE_SHARE = 0.25; // at the soonest; a txn at most
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
     private static final double ALL_VOIDED = 0.3, SPARE = 1.5; // at most servers; servers beside the need
@@ -715,7 +715,7 @@
         }
     }
 
-    /** The others' load grows by this share: a replica left alone (less, if one came), or a proxy's traffic came. */
+    /** The others' load grows by this share: a replica left (shrinks: one came), or a proxy's traffic came. */
     private void foresee(double share) {
         for (int i = turns > LAG_TURNS ? past.size() : 0; i > 0; i--) {
             past.addLast(past.pollFirst() * Math.max(LEAST_LOAD, 1 - share));
