--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -715,7 +715,7 @@
         }
     }
 
-    /** The others' load grows by this share: a replica left (shrinks: one came), or a proxy's traffic came. */
+    /** The others' load grows by this share: a replica left (below 0: one came), or a proxy's traffic did. */
     private void foresee(double share) {
         for (int i = turns > LAG_TURNS ? past.size() : 0; i > 0; i--) {
             past.addLast(past.pollFirst() * Math.max(LEAST_LOAD, 1 - share));
