Twins folded: load reports in text, plain decimals, zones; one pass over a table's parts

Cause: a reading of the whole change. Report read the text form of a load report as governor.Probe does, Words wrote numbers as the wire's Pen does, Opening counted zones beside its list of names, Desk counted messages and lines that nothing read, Serve opened the settings twice, and Keeps went over all proxies of a table twice for each line. The package story did not know the three new packages.

Change: loop.LoadText and opening.Decimals serve both sides; Keeps finds each part of the moment once; arrows, no I/O and no libraries are held for updates, opening and platform too.

--- a/src/main/java/sprucelanding/governor/Probe.java
+++ b/src/main/java/sprucelanding/governor/Probe.java
@@ -4,6 +4,7 @@
 import sprucelanding.Choice;
 import sprucelanding.loop.Get;
 import sprucelanding.loop.Http;
+import sprucelanding.loop.LoadText;
 import sprucelanding.loop.Loop;
 
 /** One probe: a GET of /probe at a replica, one answer, on a connection of its own. */
@@ -36,18 +37,6 @@
 
     /** The share of busy cores in the text form of an ORCA load report; NaN if it tells none. */
     static double util(String report) {
-        String body = report.startsWith("TEXT ") ? report.substring(5) : "";
-        for (String each : body.split(",")) {
-            String[] pair = each.trim().split("=", 2);
-            if (pair.length == 2 && pair[0].equals("cpu_utilization")) {
-                try {
-                    double util = Double.parseDouble(pair[1]);
-                    return util >= 0 && util <= 1 ? util : Double.NaN;
-                } catch (NumberFormatException e) {
-                    return Double.NaN;
-                }
-            }
-        }
-        return Double.NaN;
+        return LoadText.figure(report, "cpu_utilization", 1);
     }
 }
--- a/src/main/java/sprucelanding/opening/Opening.java
+++ b/src/main/java/sprucelanding/opening/Opening.java
@@ -98,7 +98,7 @@
         JsonObject info = part("familyInfo");
         JsonObject contract = part("contract");
         JsonObject limits = part("ceilings");
-        Choice choice = new Choice(new SplittableRandom(seed), products(info), zones(),
+        Choice choice = new Choice(new SplittableRandom(seed), products(info), names("zones").size(),
                 switch (info.getString("admit", "none")) {
                     case "share" -> Choice.Admission.SHARE;
                     case "rate" -> Choice.Admission.RATE;
@@ -150,11 +150,6 @@
         return set;
     }
 
-    private int zones() {
-        JsonValue zones = root.get("zones");
-        return zones != null && zones.isArray() ? zones.asArray().size() : 0;
-    }
-
     private JsonObject part(String name) {
         JsonValue part = root.get(name);
         return part != null && part.isObject() ? part.asObject() : new JsonObject();
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -44,8 +44,6 @@
     private final Map<Integer, Stream> streams = new HashMap<>();
     private boolean due;
     private double settledAt;
-    private long messages;
-    private long lines;
 
     Desk(Loop loop, Said said, Opening opening, long seed) {
         this.loop = loop;
@@ -92,8 +90,6 @@
     }
 
     private void send(Update update) {
-        messages++;
-        lines += update.lines();
         streams.get(update.proxy()).write(words.bytes(update), update.receipt());
     }
 
--- a/src/main/java/sprucelanding/platform/Names.java
+++ b/src/main/java/sprucelanding/platform/Names.java
@@ -3,6 +3,7 @@
 import com.eclipsesource.json.JsonArray;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -125,7 +126,7 @@
             }
             return null;
         }
-        java.net.InetSocketAddress endpoint;
+        InetSocketAddress endpoint;
         try {
             endpoint = Posting.address(at.asString(), "endpoint");
         } catch (Malformed x) {
--- a/src/main/java/sprucelanding/platform/Report.java
+++ b/src/main/java/sprucelanding/platform/Report.java
@@ -3,6 +3,7 @@
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
 import java.nio.charset.StandardCharsets;
+import sprucelanding.loop.LoadText;
 import sprucelanding.opening.Malformed;
 
 /** A replica's load report, as text after a probe and as an object among what proxies met. */
@@ -18,18 +19,7 @@
 
     /** The share of its CPU that is busy; NaN if the text tells none. */
     double load(byte[] body) {
-        String text = new String(body, StandardCharsets.ISO_8859_1).trim();
-        for (String each : (text.startsWith("TEXT ") ? text.substring(5) : "").split(",")) {
-            String[] pair = each.trim().split("=", 2);
-            if (pair.length == 2 && pair[0].trim().equals(name)) {
-                try {
-                    return share(Double.parseDouble(pair[1].trim()));
-                } catch (NumberFormatException e) {
-                    return Double.NaN;
-                }
-            }
-        }
-        return Double.NaN;
+        return LoadText.figure(new String(body, StandardCharsets.ISO_8859_1).trim(), name, MOST);
     }
 
     /** The same of an object; NaN if there is none. Throws Malformed if a figure in it cannot be. */
@@ -49,8 +39,4 @@
         JsonValue load = told.asObject().get(name);
         return load == null ? Double.NaN : load.asDouble();
     }
-
-    private static double share(double load) {
-        return load >= 0 && load <= MOST ? load : Double.NaN;
-    }
 }
--- a/src/main/java/sprucelanding/platform/Serve.java
+++ b/src/main/java/sprucelanding/platform/Serve.java
@@ -1,5 +1,6 @@
 package sprucelanding.platform;
 
+import com.eclipsesource.json.JsonObject;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
@@ -7,6 +8,7 @@
 import java.util.Map;
 import sprucelanding.loop.Loop;
 import sprucelanding.opening.Malformed;
+import sprucelanding.opening.Opening;
 import sun.misc.Signal;
 
 /** One governor in service: reads where it is posted, then runs until it is ended. */
@@ -51,7 +53,8 @@
     /** All that runs on the loop, before it does; throws UncheckedIOException too. */
     static void open(Loop loop, Said said, Path file, Relay relay) throws IOException {
         Posting posting = Posting.read(file);
-        Desk desk = new Desk(loop, said, posting.opening(), posting.seed());
+        Opening opening = posting.opening();
+        Desk desk = new Desk(loop, said, opening, posting.seed());
         if (posting.known() != null) {
             try {
                 desk.list(posting.known(), true);
@@ -61,7 +64,7 @@
         }
         Watch watch = new Watch(loop, posting.discovery(), new Watch.Heard() {
             @Override
-            public boolean told(com.eclipsesource.json.JsonObject list) {
+            public boolean told(JsonObject list) {
                 return desk.list(list, false);
             }
 
@@ -79,7 +82,7 @@
             }
         };
         watch.open();
-        Door door = new Door(loop, desk, said, posting.opening().proxies(), posting.sockets());
+        Door door = new Door(loop, desk, said, opening.proxies(), posting.sockets());
         door.opens(posting.listen());
         said.say(posting.name() + " serves at " + posting.listen());
     }
--- a/src/main/java/sprucelanding/platform/Words.java
+++ b/src/main/java/sprucelanding/platform/Words.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Function;
 import sprucelanding.Replica;
+import sprucelanding.opening.Decimals;
 import sprucelanding.updates.Part;
 import sprucelanding.updates.Update;
 
@@ -72,7 +73,7 @@
                     n = 0;
                 }
                 s.append(n++ == 0 ? ",\"endpoints\":[[\"" : ",[\"").append(names.apply(line.getKey())).append("\",");
-                number(s, line.getValue());
+                Decimals.append(s, line.getValue());
                 s.append(']');
             }
             s.append(n > 0 ? "]" : "");
@@ -96,7 +97,7 @@
 
     private static StringBuilder level(StringBuilder s, Part.Level level) {
         s.append(",\"admit\":");
-        number(s, level.letIn());
+        Decimals.append(s, level.letIn());
         return s.append(",\"policy\":").append(level.retry());
     }
 
@@ -107,15 +108,4 @@
         }
         s.append(n > 0 ? "]" : "");
     }
-
-    /** Plain decimals: no exponent, and whole numbers without a point. */
-    static void number(StringBuilder s, double value) {
-        long whole = (long) value;
-        if (whole == value) {
-            s.append(whole);
-            return;
-        }
-        long millionths = Math.round(value * 1e6);
-        s.append(millionths / 1_000_000).append('.').append(Long.toString(millionths % 1_000_000 + 1_000_000), 1, 7);
-    }
 }
--- a/src/main/java/sprucelanding/updates/Keeps.java
+++ b/src/main/java/sprucelanding/updates/Keeps.java
@@ -95,9 +95,7 @@
         } else {
             kept.lines.remove(replica);
         }
-        kept.users.forEach((held, mask) -> change(kept, held, mask));
-        kept.changes.values().forEach(part -> part.line(replica, weight));
-        whole(kept).forEach(part -> part.line(replica, weight));
+        parts(kept, mask -> true).forEach(part -> part.line(replica, weight));
     }
 
     /** As Orders.level has it. */
@@ -105,21 +103,7 @@
         Kept kept = kept(table);
         Part.Level level = new Part.Level(letIn, retry);
         kept.levels.put(product.index, level);
-        kept.users.forEach((held, mask) -> {
-            if (mask.get(product.index)) {
-                change(kept, held, mask);
-            }
-        });
-        kept.changes.forEach((mask, part) -> {
-            if (mask.get(product.index)) {
-                part.levels.put(product.index, level);
-            }
-        });
-        whole(kept).forEach(part -> {
-            if (part.products.get(product.index)) {
-                part.levels.put(product.index, level);
-            }
-        });
+        parts(kept, mask -> mask.get(product.index)).forEach(part -> part.levels.put(product.index, level));
     }
 
     /** As Orders.clear has it: those still on the table hold an empty one. */
@@ -221,16 +205,15 @@
         return tables.computeIfAbsent(table, x -> new Kept());
     }
 
-    /** What those that are laid the whole table in this moment are to be sent. */
-    private List<Part> whole(Kept kept) {
-        return kept.users.keySet().stream().map(held -> held.parts.get(kept)).filter(part -> part != null && part.whole)
-                .toList();
-    }
-
-    private static void change(Kept kept, Held held, BitSet mask) {
-        if (!held.parts.containsKey(kept)) {
-            held.parts.put(kept, kept.changes.computeIfAbsent(mask, x -> new Part(x, false)));
-        }
+    /** This moment's parts for those on the table who take such products from it, each once: shared changes, whole tables. */
+    private static Set<Part> parts(Kept kept, Predicate<BitSet> concerned) {
+        Set<Part> parts = new LinkedHashSet<>();
+        kept.users.forEach((held, mask) -> {
+            if (concerned.test(mask)) {
+                parts.add(held.parts.computeIfAbsent(kept, x -> kept.changes.computeIfAbsent(mask, m -> new Part(m, false))));
+            }
+        });
+        return parts;
     }
 
     private static void lay(Kept kept, Held held, BitSet mask) {
--- a/src/main/java/sprucelanding/wire/Pen.java
+++ b/src/main/java/sprucelanding/wire/Pen.java
@@ -7,6 +7,7 @@
 import sprucelanding.Product;
 import sprucelanding.Proxy;
 import sprucelanding.Replica;
+import sprucelanding.opening.Decimals;
 
 /** Writes one instance's orders as lines of the reply. */
 final class Pen implements Orders {
@@ -27,7 +28,7 @@
     @Override
     public void line(int table, Replica replica, double weight) {
         open("LINE").append('\t').append(table).append('\t').append(replica.id).append('\t');
-        number(weight);
+        Decimals.append(reply, weight);
         reply.append('\n');
     }
 
@@ -44,7 +45,7 @@
     @Override
     public void level(int table, Product product, double letIn, int retry) {
         open("VALVE").append('\t').append(table).append('\t').append(BigInteger.ONE.shiftLeft(product.index)).append('\t');
-        number(letIn);
+        Decimals.append(reply, letIn);
         reply.append('\t').append(retry).append('\n');
     }
 
@@ -102,16 +103,4 @@
         }
         reply.append('\n');
     }
-
-    /** Plain decimals: no exponent, and whole numbers without a point. */
-    private void number(double value) {
-        long whole = (long) value;
-        if (whole == value) {
-            reply.append(whole);
-            return;
-        }
-        long millionths = Math.round(value * 1e6);
-        String rest = Long.toString(millionths % 1_000_000 + 1_000_000);
-        reply.append(millionths / 1_000_000).append('.').append(rest, 1, rest.length());
-    }
 }
--- a/src/test/java/sprucelanding/PackagesTest.java
+++ b/src/test/java/sprucelanding/PackagesTest.java
@@ -34,8 +34,14 @@
                 .layer("emulator").definedBy("sprucelanding.emulator")
                 .layer("expect").definedBy("sprucelanding.expect")
                 .layer("lab").definedBy("sprucelanding.lab")
+                .layer("updates").definedBy("sprucelanding.updates")
+                .layer("opening").definedBy("sprucelanding.opening")
+                .layer("wires").definedBy("sprucelanding.wire", "sprucelanding.platform")
                 .layer("program").definedBy("sprucelanding.program")
                 .whereLayer("program").mayNotBeAccessedByAnyLayer()
+                .whereLayer("wires").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("updates").mayOnlyBeAccessedByLayers("wires")
+                .whereLayer("opening").mayOnlyBeAccessedByLayers("wires")
                 .whereLayer("expect").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("day").mayOnlyBeAccessedByLayers("expect", "emulator", "lab", "program")
                 .whereLayer("emulator").mayOnlyBeAccessedByLayers("lab", "program")
@@ -53,7 +59,8 @@
                 .whereLayer("fleet").mayOnlyBeAccessedByLayers("core", "governor", "station", "emulator", "program")
                 .whereLayer("edits").mayOnlyBeAccessedByLayers("fronts")
                 .whereLayer("markup").mayOnlyBeAccessedByLayers("fronts", "stands")
-                .whereLayer("module").mayOnlyBeAccessedByLayers("core", "capture", "station", "governor", "fronts", "emulator", "expect", "program")
+                .whereLayer("module").mayOnlyBeAccessedByLayers("core", "capture", "station", "governor", "fronts", "emulator", "expect", "program",
+                        "updates", "opening", "wires")
                 .check(all);
     }
 
@@ -61,7 +68,7 @@
     void whatDecidesDoesNoInputOrOutputAndHasNoClock() {
         ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.delivery",
                 "sprucelanding.intake", "sprucelanding.roster", "sprucelanding.edits", "sprucelanding.core", "sprucelanding.model",
-                "sprucelanding.capture.estimate", "sprucelanding.fleet", "sprucelanding.streamed").should().dependOnClassesThat()
+                "sprucelanding.capture.estimate", "sprucelanding.fleet", "sprucelanding.streamed", "sprucelanding.updates").should().dependOnClassesThat()
                 .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
                         "io.grpc..", "org.slf4j..")
                 .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
@@ -70,7 +77,8 @@
 
     @Test
     void theAdapterAndTheModuleUseNoneOfTheLibraries() {
-        ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.wire").should()
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("sprucelanding", "sprucelanding.wire", "sprucelanding.updates",
+                "sprucelanding.opening", "sprucelanding.platform").should()
                 .dependOnClassesThat().resideInAnyPackage("io..", "picocli..", "org..", "ch..", "com.fasterxml..")
                 .check(all);
     }
