A device's test waits for the take-back that it is about, not for the trial before it

Cause: the trial lasts 1 ms, and what is committed on trial already counts as laid. The test waited for "laid", which could be true within that millisecond, and then asked whether the device had taken it back. It was the test that was wrong, not the front.

Change: it waits for both at once, taken back and laid anew after that, which is stricter: a device that is laid and never takes anything back fails it now.

--- a/src/test/java/sprucelanding/netconf/NetconfFrontTest.java
+++ b/src/test/java/sprucelanding/netconf/NetconfFrontTest.java
@@ -210,8 +210,7 @@
         DeviceStand d = device(1, own, false);
         d.breaksOnTrial(1);
         Files.writeString(folder.resolve("devices"), d.pin() + "\n");
-        await("laid by a later session", () -> laid(d));
-        assertTrue(d.tookBack());
+        await("taken back, and laid by a later session", () -> d.tookBack() && laid(d));
     }
 
     @Test
