Parts of the servers for each proxy where the channel is short; unconfirmed lines count as waiting

Governor n2 was told at 7.33 s that it drains, ordered it shut out for 742 at 9.78 s only ("waiting 19585"), and ended at 10.4 s with that message still queued. 742 went to n3 (10.95 s), back to n2 (15.72 s), whose list after the restart no longer named the server, and was bound at 24.13 s: 8.4 s after joining, for the whole table of 200 lines stood in line behind 150 others.

Change: where half of the pace cannot lay whole tables within the grace (proxies, governors, grace, pace and head as the settings state), each proxy goes by a part with as many servers as fit; parts take new servers for those that left; a proxy that joins goes to the part with the least traffic. Lines count as waiting until a receipt confirms them. A bind books what it lets back.

Tests, each seen to fail without its part of the change: whereWholeTablesCannotReachAllWithinTheGraceEachProxyGoesByAPart, aProxyThatJoinsPartsGoesWhereTheLeastTrafficIs, partsTakeNewServersForThoseThatLeft, aChannelThatHardlyMovesIsNotFilledFurther, whatABindLetsBackIsBookedInTheChannelToo. The tiny host now confirms a message from every proxy that it went to, as proxies do, where it confirmed once for all of them; no assertion was changed.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -43,6 +43,7 @@
     private static final double TENDER = 0.5, COLD_VOIDED = 0.15; // of warming; voided when such must wait
     private static final double ALL_VOIDED = 0.3, SPARE = 1.5; // at most servers; servers beside the need
     private static final int PART = 3, SHARING = 2; // servers in a part at least, and proxies with little
+    private static final int LEAST_PART = 16, SETS = 4; // servers in a lasting part at least; parts of each
     private static final double APART = 500, LONG_GONE = 60_000; // withdrawals; gone, and held by no table
 
     private final SplittableRandom chance;
@@ -51,6 +52,7 @@
     private final Admission admission;
     private double coldFrom, warmAfter, reportEvery, linesPerMs, head, queueCap, messageSpan, cycle;
     private int messageCap, serial;
+    private double afforded = UNLIMITED; // lines of a table that reach all proxies in time
     private double unmet, stale; // until what a new proxy meets was reported; a load's age that tells nothing
 
     private double now, dueBell = -NEVER;
@@ -64,16 +66,18 @@
     private final Set<Replica> again = new LinkedHashSet<>(); // to withdraw once more, for late joiners
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private final TreeSet<Due> due = new TreeSet<>();
-    private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList, late, barsWait;
+    private boolean turnDue = true, news, ordinary, met, strained, wholeList, firstList, relisted, late;
+    private boolean barsWait;
     private boolean holdCold = true; // cold ones get no line: in a jam, all that proxies shun goes there
     private List<Table.Row> wanted; // what waits to be ordered, in turn; null once that may have changed
     private List<Proxy> unbound;
     private double admitted = 1, meanLoad, voidShare;
     private final ArrayDeque<Double> past = new ArrayDeque<>(); // let in of late: reports tell of the oldest
-    private int each, laid; // servers in a part, 0 while tables are whole; parts laid so far
+    private int each, rest, laid; // servers in a part, 0 if tables are whole; at rest; parts laid so far
     private double dealtAt = NEVER, barredAt = NEVER, quiet = LONGEST_QUIET / 8;
-    private double waiting, waitingAt, booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER; // lines
-    private final Map<Integer, Double> receipts = new HashMap<>();
+    private double booked, bookedBefore, writtenAt = NEVER, orderedAt = NEVER; // lines
+    private final Map<Integer, Sent> receipts = new LinkedHashMap<>(); // until later ones come
+    private double left, toldAt = NEVER, transit = TURN; // lines that have left; of receipts; ms on the way
 
     /** Products open to the same replicas share one table; own-zone products have one for each zone. */
     public Choice(SplittableRandom chance, Product[] products, int zones, Admission admission) {
@@ -109,6 +113,17 @@
         cycle = messageCap == 0 ? 0 : messageSpan / (USUAL * messageCap);
     }
 
+    /**
+     * How many proxies the governors share, and ms until one has to stop sending to what left: whatever it
+     * brings from elsewhere, its own table must reach it by then (0: unknown). Transit: a message's most ms.
+     */
+    public void fleet(int proxies, int governors, double grace, double transit) {
+        this.transit = transit;
+        double mine = Math.min(proxies, 2.0 * proxies / Math.max(1, governors)); // another's too, if it dies
+        double each = mine > 0 ? grace * linesPerMs * TRUSTED / mine : 0;
+        afforded = each > 0 ? each - head - 2 - products.length : UNLIMITED;
+    }
+
     public void reports(boolean probes, double every) {
         this.probes = probes;
         this.reportEvery = every;
@@ -129,13 +144,14 @@
         wholeList = whole;
         firstList = first;
         named.clear();
-        news = true;
+        news = relisted = true;
     }
 
     public void listed(long id, int zone, int kind, double weight, double startedAt, Stage stage) {
         Replica r = replicas.computeIfAbsent(id, Replica::new);
         r.entered |= stage == Stage.READY && (!r.listed() || startedAt > r.startedAt);
         r.entry(zone, kind, weight, startedAt);
+        r.doubted |= startedAt > 0 || stage != Stage.READY;
         stage(r, stage);
         named.add(r);
     }
@@ -150,7 +166,10 @@
 
     public void listCloses() {
         if (wholeList) {
-            replicas.values().stream().filter(r -> !named.contains(r)).forEach(r -> stage(r, Stage.GONE));
+            replicas.values().stream().filter(r -> !named.contains(r)).forEach(r -> {
+                r.doubted = true;
+                stage(r, Stage.GONE);
+            });
         }
     }
 
@@ -181,12 +200,22 @@
 
     /** Messages leave in order: all that was booked before this one has left. */
     public void inForce(int serial) {
-        waiting = Math.min(waiting, booked - receipts.getOrDefault(serial, 0.0));
+        toldAt = now;
+        Sent sent = receipts.get(serial);
+        if (sent != null) {
+            sent.confirmed++;
+            left = Math.max(left, sent.left());
+            receipts.values().removeIf(s -> s.before < sent.before);
+        }
     }
 
-    /** Lines that wait in the channel, as the gate's model has it: a figure for the host's log. */
+    /**
+     * Lines that may wait: all that no receipt confirms, for a channel may run far slower than stated. Where
+     * none has come for as long as one may take and a turn, half of the stated pace is trusted from then on.
+     */
     public double waiting() {
-        return Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
+        double silent = Math.max(0, now - toldAt - transit - TURN);
+        return Math.max(0, booked - left - silent * linesPerMs * TRUSTED);
     }
 
     /** Replicas in its books: a figure for the host's log. */
@@ -205,6 +234,7 @@
         left(id);
         double each = Math.max(0, usual) / products.length;
         proxies.put(id, new Proxy(id, zone, bare, now, each, products.length));
+        joins(proxies.get(id));
         late = true;
     }
 
@@ -242,7 +272,8 @@
         if (writtenAt == now) { // what comes in force tells how much of the channel has drained
             writtenAt = NEVER;
             serial = (serial + 1) % NUMBERS;
-            receipts.put(serial, bookedBefore);
+            double messages = sum(proxies.values(), p -> p.written(now) ? 1 : 0);
+            receipts.put(serial, new Sent(bookedBefore, booked - bookedBefore, messages));
             orders.receipt(serial);
             return true;
         }
@@ -323,14 +354,18 @@
         Set<Table> full = new HashSet<>();
         for (Table.Row row : wanted) {
             Table t = row.table;
+            if (full.contains(t)) {
+                continue;
+            }
             double part = row.rank < SOON ? USUAL : row.rank < FILL ? URGENT : row.rank < MUST ? VITAL : ALL;
             // Heads alone must not fill the channel; where messages are capped, ordinary ones go evenly.
             boolean may = part > USUAL || ordinary || messageCap > 0;
             boolean rides = may && t.users.stream().allMatch(p -> p.written(now)) || t.users.isEmpty();
-            double heads = t.users.size() * head / (linesPerMs * TRUSTED);
+            double heads = (t.wide == t ? t.users : proxies.values()).size() * head / (linesPerMs * TRUSTED);
             double pause = part > USUAL ? heads : may ? Math.max(2 * heads, cycle) : -NEVER;
             pause = part == ALL || rides || t.empty() ? 0 : pause;
-            if (full.contains(t) || now - orderedAt < pause || !fits(t.users, 1, part)) {
+            double since = t.wide == t ? orderedAt : t.orderedAt;
+            if (now - since < pause || !fits(t.users, 1, part)) {
                 full.addAll(part == ALL ? tables : List.of(t));
                 continue;
             }
@@ -341,6 +376,7 @@
             }
             row.send(want);
             orderedAt = t.users.isEmpty() ? orderedAt : now;
+            t.orderedAt = orderedAt;
             wanted = want == 0 && 2 * t.sent < t.aim ? null : wanted;
             orders.line(t.number, row.replica, want);
             if (row.replica.stage == Stage.GONE) {
@@ -380,7 +416,8 @@
                 if (!p.due(t) || to.empty() || !p.bare && turns <= FIRST_LOOK) {
                     continue;
                 }
-                if (!fits(List.of(p), 1 + to.rows.size() + to.products.cardinality(), URGENT)) {
+                int lets = p.bare ? 0 : (int) sum(to.rows.keySet(), r -> r.doubted || r.barred ? 1 : 0);
+                if (!fits(List.of(p), 1 + to.rows.size() + lets + to.products.cardinality(), URGENT)) {
                     return false;
                 }
                 if (p.bare && p.on.isEmpty()) {
@@ -438,6 +475,41 @@
             r.entered = false;
         }
         firstList = false;
+        if (relisted) {
+            relisted = false;
+            // Where whole tables cannot reach all proxies in time, each goes by a part of some servers.
+            boolean cuts = afforded < roll.size() / (rest > 0 ? 1 : 2.0);
+            int before = rest;
+            rest = !cuts ? 0 : rest > 0 ? rest : (int) Math.max(LEAST_PART, afforded);
+            if (before != rest) {
+                each = each == before ? rest : each;
+                deal();
+            } else if (each > 0 && each == rest) {
+                wide.forEach(this::fill);
+            }
+        }
+    }
+
+    /** Parts that lost servers take others, those in the fewest parts first; and none is in no part. */
+    private void fill(Table t) {
+        roll.forEach(r -> r.dealt = sum(t.parts, p -> p.rows.containsKey(r) ? 1 : 0));
+        List<Replica> open = roll.stream().filter(t::open).toList();
+        for (Table p : t.parts) {
+            for (int n = p.listed(); n < Math.min(each, open.size()); n++) {
+                open.stream().filter(r -> !p.rows.containsKey(r))
+                        .min(Comparator.comparingDouble(r -> r.dealt)).ifPresent(r -> into(p, r));
+            }
+        }
+        for (Replica r : open) {
+            if (r.dealt < 1) {
+                t.parts.stream().min(Comparator.comparingInt(Table::listed)).ifPresent(p -> into(p, r));
+            }
+        }
+    }
+
+    private static void into(Table part, Replica r) {
+        part.line(r).weight = part.wide.line(r).weight;
+        r.dealt++;
     }
 
     // What answers no probe is out; while it settles txns, only with its zone or alone: else queues are full.
@@ -549,12 +621,11 @@
     // Halfway to the inverse of load per share received; a busy one shrinks by up to a quarter at once.
     private void step(Table t) {
         double mean = mean(t);
-        double usual = meanLoad > 0 ? meanLoad : USUAL_LOAD;
         List<Table> narrow = wide.stream().filter(x -> x.rows.size() < t.wide.rows.size()).toList();
         for (Table.Row row : t.rows.values()) {
             Replica r = row.replica;
             double room = Math.max(LEAST_LOAD, 1 - sum(narrow, x -> x.open(r) ? x.pressure : 0));
-            double perShare = usual / Math.max(r.speed, 1e-3);
+            double perShare = USUAL_LOAD / Math.max(r.speed, 1e-3);
             double sound = Math.min(1, (1 - r.voided / (r.tries + 2)) / (1 - voidShare));
             double target = SCALE / Math.max(LEAST_LOAD, perShare) * room * sound * sound;
             if (r.steadyLoad > BUSY && r.steadyLoad > CROWDED * meanLoad) {
@@ -578,7 +649,7 @@
         double share = r.voided / (r.tries + 1);
         boolean full = !strained && r.steadyLoad > ZERO_PAST && r.steadyLoad > ABOVE_REST * meanLoad;
         double sick = SICK + voidShare + (r.steadyLoad > SATURATED ? SICK_FULL : 0);
-        if (!r.out && each == 0 && r.voided >= 2 && share > sick) {
+        if (!r.out && each == rest && r.voided >= 2 && share > sick) {
             leaves(r, SENTENCE, STAY_SICK, "voided " + percent(share) + ", all " + percent(voidShare));
         } else if (!r.out && full) {
             leaves(r, 0, STAY_SICK, "load " + percent(r.steadyLoad) + ", mean " + percent(meanLoad));
@@ -611,8 +682,9 @@
                 .mapToDouble(r -> r.voided / (r.tries + 1)).sorted().toArray();
         double usual = shares.length == 0 ? 0 : shares[shares.length / 2];
         boolean few = !strained && Math.max(load, meanLoad) < SATURATED && usual > ALL_VOIDED;
-        if (few ? each != PART && now - dealtAt > unmet : each > 0 && now - dealtAt > quiet) {
-            each = few ? PART : 4 * each > roll.size() ? 0 : 2 * each;
+        if (few ? each != PART && now - dealtAt > unmet : each != rest && now - dealtAt > quiet) {
+            int more = 4 * each > roll.size() ? 0 : 2 * each;
+            each = few ? PART : rest > 0 && (more == 0 || more > rest) ? rest : more;
             quiet = few ? Math.min(LONGEST_QUIET, quiet * 2) : quiet;
             notes.add((each == 0 ? "tables whole" : "tables of few servers") + ": voided " + percent(usual));
             deal();
@@ -632,6 +704,14 @@
         all.sort(Comparator.comparingDouble(p -> -p.total()));
         double demand = Math.max(1, sum(all, Proxy::total));
         roll.forEach(r -> r.dealt = chance.nextDouble() / 4);
+        if (each > 0 && each == rest) {
+            for (int i = (int) Math.ceil((double) SETS * roll.size() / each); i > 0; i--) {
+                wide.forEach(t -> part(t, 0, 1));
+            }
+            all.forEach(p -> p.part = -1);
+            all.forEach(this::joins);
+            return;
+        }
         for (int i = 0, group = 0; i < all.size(); group++) {
             double share = 0;
             int n = 0;
@@ -645,6 +725,17 @@
         }
     }
 
+    /** To the part with the least traffic. */
+    private void joins(Proxy p) {
+        double[] traffic = new double[wide.get(0).parts.size()];
+        proxies.values().stream().filter(x -> x.part >= 0 && x != p && traffic.length > 0)
+                .forEach(x -> traffic[x.part % traffic.length] += x.usual + 1);
+        p.part = 0;
+        for (int i = 1; i < traffic.length; i++) {
+            p.part = traffic[i] < traffic[p.part] ? i : p.part;
+        }
+    }
+
     private void part(Table t, double share, int proxies) {
         laid = (laid + 1) % NUMBERS; // by then, whatever had the number has long been cleared
         Table part = new Table(wide.size() + laid, t.like, t.home, t, products.length);
@@ -780,17 +871,17 @@
         }
         bookedBefore = writtenAt == now ? bookedBefore : booked;
         writtenAt = now;
-        double cost = cost(to, lines);
-        waiting += cost;
-        booked += cost;
+        booked += cost(to, lines);
         to.stream().filter(p -> !p.written(now)).forEach(p -> p.messages.addLast(now));
         return true;
     }
 
     private boolean room(Collection<Proxy> to, int lines, double part) {
-        waiting = Math.max(0, waiting - (now - waitingAt) * linesPerMs * TRUSTED);
-        waitingAt = now;
-        boolean room = waiting + cost(to, lines) <= (part < ALL ? part * LOOSE : part) * queueCap;
+        if (waiting() == 0) { // as long as nothing waits, no receipt is missing
+            left = booked;
+            toldAt = now;
+        }
+        boolean room = waiting() + cost(to, lines) <= (part < ALL ? part * LOOSE : part) * queueCap;
         for (Proxy p : to) {
             p.messages.removeIf(at -> at < now - messageSpan - TURN / 4);
             room &= messageCap == 0 || p.written(now) || p.messages.size() + 1 <= part * messageCap;
--- a/src/main/java/sprucelanding/Replica.java
+++ b/src/main/java/sprucelanding/Replica.java
@@ -34,6 +34,8 @@
 
     /** Sum of its weights, as last ordered, over all tables. */
     double sent;
+    /** It was away from the list at some time, or may have been. */
+    boolean doubted;
     /** Shut out of all tables, for proxies that are not bound yet. */
     boolean barred;
     boolean probing;
@@ -54,6 +56,11 @@
         this.id = id;
     }
 
+    /** Whether another governor may have withdrawn it: proxies that come from there may shun it still. */
+    public boolean doubted() {
+        return doubted;
+    }
+
     boolean listed() {
         return stage == Choice.Stage.READY || stage == Choice.Stage.MISSING;
     }
--- a/src/main/java/sprucelanding/Table.java
+++ b/src/main/java/sprucelanding/Table.java
@@ -58,6 +58,8 @@
     /** Sum of its lines' weights, as last ordered, and as wanted when last ranked. */
     double sent;
     double aim;
+    /** When a line of it was last ordered, ms. */
+    double orderedAt = Double.NEGATIVE_INFINITY;
     /** Demand for each unit of its replicas' speed; 1 is the mean over all. */
     double pressure;
 
@@ -90,6 +92,11 @@
                 && (like.zones.isEmpty() || like.zones.get(r.zone)) && (home < 0 || home == r.zone);
     }
 
+    /** How many of its lines are of replicas that are on the list. */
+    int listed() {
+        return (int) rows.keySet().stream().filter(Replica::listed).count();
+    }
+
     boolean empty() {
         return sent == 0;
     }
--- a/src/main/java/sprucelanding/opening/Opening.java
+++ b/src/main/java/sprucelanding/opening/Opening.java
@@ -110,6 +110,8 @@
         choice.channel(info.getDouble("egressPerS", 1000) / 1000, info.getDouble("head", 0),
                 info.getDouble("queueCap", 1000), info.getInt("updateCap", 0),
                 ms(info, "reloadSpanUs", 10_000_000));
+        choice.fleet(info.getInt("proxies", 0), root.getInt("balancers", 1), ms(contract, "drainGraceUs", 0),
+                ms(info, "transitMaxUs", 1_000_000));
         choice.reports(limits.getBoolean("probes", false), ms(info, "reportEveryUs", 1_000_000));
         return choice;
     }
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -55,7 +55,7 @@
                 (replica, answer, load) -> hears().probed(replica, answer, load));
         products = opening.names("classes");
         names = new Names(opening.names("zones"), opening.names("kinds"));
-        keeps = new Keeps(products.size(), r -> names.of(r.id).doubted);
+        keeps = new Keeps(products.size(), Replica::doubted);
         words = new Words(products, r -> names.of(r.id).uid);
         choice.clock(clock());
     }
--- a/src/main/java/sprucelanding/platform/Named.java
+++ b/src/main/java/sprucelanding/platform/Named.java
@@ -16,8 +16,6 @@
     double weight = 1;
     /** Its last start, Unix time in ms; 0 if long past. */
     double startedAt;
-    /** It was away from the list at some time, or may have been: proxies that come from elsewhere may shun it. */
-    boolean doubted;
 
     Named(long id, String uid) {
         this.id = id;
--- a/src/main/java/sprucelanding/platform/Names.java
+++ b/src/main/java/sprucelanding/platform/Names.java
@@ -76,7 +76,6 @@
         boolean whole = all.asBoolean() && good;
         choice.listOpens(whole, first);
         for (Named n : read) {
-            n.doubted |= n.startedAt > 0 || n.stage != Choice.Stage.READY;
             n.goneAt = n.stage == Choice.Stage.GONE ? now : 0;
             choice.listed(n.id, n.zone, n.kind, n.weight, n.startedAt, n.stage);
         }
@@ -85,7 +84,6 @@
             byUid.values().stream().filter(n -> n.stage != Choice.Stage.GONE && !read.contains(n)).forEach(n -> {
                 n.stage = Choice.Stage.GONE;
                 n.goneAt = now;
-                n.doubted = true;
             });
         }
         revision = good ? rev.asLong() : revision;
--- a/src/test/java/sprucelanding/ChoiceTest.java
+++ b/src/test/java/sprucelanding/ChoiceTest.java
@@ -636,4 +636,87 @@
         assertTrue(host.choice.known() < 45, "it knows " + host.choice.known());
         assertEquals(6, host.tables.get(0).values().stream().filter(weight -> weight > 0).count(), 1);
     }
+
+    /** Proxies that a channel of 3 lines a ms cannot lay whole tables of 200 for within a grace of 4 s. */
+    private static FakeHost crowded() {
+        FakeHost host = new FakeHost(Choice.Admission.SHARE, 0, FakeHost.product(0, true, 1), FakeHost.product(1, false, 2));
+        host.drains = true;
+        host.choice.roll(true, false, 0.2, 16_000);
+        host.choice.fleet(300, 5, 4000, 800);
+        host.list(true, 200);
+        for (int id = 0; id < 120; id++) {
+            host.choice.joined(id, 0, 10, false);
+        }
+        host.settle();
+        host.run(5, () -> well(host, 200, 0.5, 10));
+        return host;
+    }
+
+    private static void eachListedReplicaIsInATableOfSome(FakeHost host, long from, long to) {
+        TreeSet<Long> held = new TreeSet<>();
+        for (int place : new TreeSet<>(host.places.values())) {
+            long lines = host.tables.get(place).values().stream().filter(w -> w > 0).count();
+            assertTrue(lines >= 16 && lines < 100, lines + " lines in a table");
+            host.tables.get(place).forEach((id, weight) -> {
+                if (weight > 0) {
+                    held.add(id);
+                }
+            });
+        }
+        assertEquals(to - from + 1, held.size());
+        assertEquals(from, held.first());
+        assertEquals(to, held.last());
+    }
+
+    @Test
+    void whereWholeTablesCannotReachAllWithinTheGraceEachProxyGoesByAPart() {
+        FakeHost host = crowded();
+        assertEquals(120, host.bound.size(), "all are bound, whatever they brought");
+        eachListedReplicaIsInATableOfSome(host, 1, 200);
+        int tables = new TreeSet<>(host.places.values()).size();
+        assertTrue(tables > 8, tables + " parts");
+        for (int place : host.places.values()) {
+            long users = host.places.values().stream().filter(p -> p == place).count();
+            assertTrue(users <= 120 / tables + 1, users + " of 120 proxies on one of " + tables);
+        }
+    }
+
+    @Test
+    void aProxyThatJoinsPartsGoesWhereTheLeastTrafficIs() {
+        FakeHost host = crowded();
+        host.choice.left(50);
+        int place = host.places.remove(50);
+        host.choice.joined(200, 1, 10, true);
+        host.run(2, () -> well(host, 200, 0.5, 10));
+        assertEquals(place, host.places.get(200));
+    }
+
+    @Test
+    void partsTakeNewServersForThoseThatLeft() {
+        FakeHost host = crowded();
+        for (int step = 0; step < 10; step++) {
+            host.choice.listOpens(false, false);
+            for (long id = 1 + 12 * step; id <= 12 + 12 * step; id++) {
+                host.choice.listed(id, (int) (id % 3), 0, 1, 0, Choice.Stage.DRAINING);
+                host.choice.listed(200 + id, (int) (id % 3), 0, 1, host.now, Choice.Stage.READY);
+            }
+            host.choice.listCloses();
+            host.settle();
+            host.run(1, () -> well(host, 320, 0.5, 10));
+        }
+        host.run(20, () -> well(host, 320, 0.5, 10));
+        eachListedReplicaIsInATableOfSome(host, 121, 320);
+    }
+
+    @Test
+    void aChannelThatHardlyMovesIsNotFilledFurther() {
+        FakeHost host = FakeHost.large(false, 120, 180);
+        int atOnce = host.bound.size();
+        for (int tenth = 0; tenth < 100; tenth++) { // the first of its messages is still being confirmed
+            host.choice.inForce(1);
+            host.run(1, () -> well(host, 120, 0.5, 10));
+            assertTrue(host.choice.waiting() <= 5000, host.choice.waiting() + " lines wait");
+        }
+        assertTrue(host.bound.size() < atOnce + 25, host.bound.size() + " bound, " + atOnce + " at once");
+    }
 }
--- a/src/test/java/sprucelanding/FakeHost.java
+++ b/src/test/java/sprucelanding/FakeHost.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** A tiny host: it keeps what it is ordered, rings the bells and answers the probes. */
 final class FakeHost implements Orders {
@@ -23,8 +25,10 @@
     final TreeMap<Double, List<Integer>> bells = new TreeMap<>();
     /** Replicas whose probes get this answer; all others answer well. */
     final Map<Long, Choice.Answer> ill = new LinkedHashMap<>();
-    /** Whether receipts come: those of the message before, each time. */
+    /** Whether receipts come: those of the message before, each time, from every proxy that it went to. */
     boolean drains;
+    private Set<Integer> told = new TreeSet<>();
+    private Set<Integer> toldBefore = Set.of();
     int watches;
     int messages;
     private boolean written;
@@ -135,6 +139,7 @@
         }
         orders.add("line");
         written = true;
+        goesTo(table);
         tables.computeIfAbsent(table, t -> new TreeMap<>()).put(replica.id, weight);
     }
 
@@ -146,6 +151,7 @@
     @Override
     public void level(int table, Product product, double letIn, int retry) {
         written = true;
+        goesTo(table);
         levels.put(product.index, letIn);
         retries.put(product.index, retry);
     }
@@ -155,14 +161,25 @@
         orders.add("bind");
         written = true;
         places.put(proxy.id, table);
+        told.add(proxy.id);
         bound.merge(proxy.id, (int) products.toLongArray()[0], (a, b) -> a | b);
     }
 
     @Override
     public void receipt(int serial) {
         if (drains) {
-            choice.inForce(serial - 1);
+            toldBefore.forEach(proxy -> choice.inForce(serial - 1));
         }
+        toldBefore = told;
+        told = new TreeSet<>();
+    }
+
+    private void goesTo(int table) {
+        places.forEach((proxy, place) -> {
+            if (place == table) {
+                told.add(proxy);
+            }
+        });
     }
 
     @Override
--- a/src/test/java/sprucelanding/updates/Fleet.java
+++ b/src/test/java/sprucelanding/updates/Fleet.java
@@ -22,7 +22,7 @@
     static final Product SIGN = product(1);
 
     final Choice choice = new Choice(new SplittableRandom(7), new Product[] {READ, SIGN}, 3, Choice.Admission.SHARE);
-    final Keeps keeps = new Keeps(2, r -> r.id % 10 == 0);
+    final Keeps keeps = new Keeps(2, r -> r.doubted() || r.id % 10 == 0);
     final Map<Long, Replica> replicas = new TreeMap<>();
     final Map<Integer, Proxy> proxies = new TreeMap<>();
     /** What each proxy goes by, from the updates alone: by product, weights by replica; and its levels. */
--- a/src/test/java/sprucelanding/updates/KeepsTest.java
+++ b/src/test/java/sprucelanding/updates/KeepsTest.java
@@ -191,4 +191,20 @@
         }
         assertTrue(exact > 100, "nearly all cost just that: " + exact);
     }
+
+    @Test
+    void whatABindLetsBackIsBookedInTheChannelToo() {
+        Fleet fleet = new Fleet(8);
+        for (long id = 1; id <= 5; id++) {
+            fleet.change(id, Choice.Stage.GONE);
+            fleet.change(id, Choice.Stage.READY);
+        }
+        fleet.join(3, false);
+        for (int second = 0; second < 9 && !fleet.updates.containsKey(3); second++) {
+            fleet.second();
+        }
+        Update bind = fleet.updates.get(3);
+        assertEquals(5, bind.back().size(), "another governor may have shut these out");
+        assertTrue(fleet.choice.waiting() >= bind.lines() + 6, fleet.choice.waiting() + " booked for " + bind.lines() + " and the head");
+    }
 }
