Ends settle what is owed: refusals have a deadline, half-closed peers their answer, failures leave nothing

Read: every path of loop, platform and updates that ends something. Refusals now have 500 ms, and where room is short those on their way out go before others are refused. Choice.decide asked for its next turn after the turn, so that a turn that fails would have been the last; it asks first now. That order has no test: nothing known makes a turn fail. - Probes gave a late answer to whatever process has the name by then ("expected: <NONE NaN> but was: <OK 0.61>"). - Names.forget dropped names after three minutes whether or not a table still held a line of theirs; the removal would have failed in mid-moment. - Watch.line let a list that failed while it was taken in pass: the watch went on from the next change. It is asked for anew, whole.

Suspicions that proved unfounded here, with tests that stay: a close behind an answer over unread bytes (the JDK ends its side before it closes, the answer and a clean end arrive; the drain is kept so as not to rest on that), a message that follows a refusal, an acknowledgement of the older stream's mark on the newer one, a stream reset while orders are written.

--- a/src/main/java/sprucelanding/Choice.java
+++ b/src/main/java/sprucelanding/Choice.java
@@ -257,8 +257,8 @@
             turnDue = false;
             ordinary = true;
             turns++;
+            orders.timer(TURN_BELL, now + TURN); // first: a turn that fails must not be the last
             turn();
-            orders.timer(TURN_BELL, now + TURN);
             return true;
         }
         if (!notes.isEmpty()) {
--- a/src/main/java/sprucelanding/loop/Conn.java
+++ b/src/main/java/sprucelanding/loop/Conn.java
@@ -16,11 +16,18 @@
         /** The buffer is the loop's: what is left in it is gone after the call. */
         void received(Conn conn, ByteBuffer in) throws IOException;
 
+        /** The peer has ended its side. True if what waits for it is still to be sent; false: the connection is over. */
+        default boolean answersStill(Conn conn) {
+            return false;
+        }
+
         /** Once; for a dialled connection also if it never came about. */
         default void closed(Conn conn, String why) {
         }
     }
 
+    private static final double ANSWERS = 1000; // ms for what a peer is owed that has ended its side
+
     private final Loop loop;
     private final SocketChannel channel;
     private final int mostUnread;
@@ -32,6 +39,10 @@
     private boolean connected;
     private boolean closing;
     private boolean paused;
+    /** Its peer has ended its side. */
+    private boolean ended;
+    /** Until when a connection that finishes may take. */
+    private Loop.Timer deadline;
 
     Conn(Loop loop, SocketChannel channel, int mostUnread, Listener listener) {
         this.loop = loop;
@@ -84,6 +95,23 @@
         }
     }
 
+    /**
+     * Closes once all has been sent and the peer has closed, or after so many ms. What the peer still says is read and dropped: closed
+     * over unread bytes, the connection would be reset, and that can destroy what is on its way.
+     */
+    public void finish(double within) {
+        if (open && deadline == null) {
+            deadline = loop.in(within, () -> end("not taken in time"));
+            closing = true;
+            flush();
+        }
+    }
+
+    /** Whether it only waits for its end. */
+    public boolean finishing() {
+        return closing;
+    }
+
     public void close() {
         end("closed here");
     }
@@ -118,6 +146,10 @@
         if (open) {
             open = false;
             out.clear();
+            unread = 0;
+            if (deadline != null) {
+                deadline.cancel();
+            }
             try {
                 channel.close();
             } catch (IOException e) {
@@ -149,8 +181,14 @@
         ByteBuffer in = loop.in.clear();
         int n = channel.read(in);
         if (n < 0) {
-            end("closed by the peer");
-        } else if (n > 0) {
+            ended = true;
+            if (out.isEmpty() || !closing && !listener.answersStill(this)) {
+                end("closed by the peer");
+            } else {
+                finish(ANSWERS);
+                interest();
+            }
+        } else if (n > 0 && deadline == null) {
             in.flip();
             listener.received(this, in);
         }
@@ -170,14 +208,26 @@
             end("broken: " + e.getMessage());
         }
         if (open && closing && out.isEmpty()) {
-            close();
+            if (deadline == null || ended) {
+                close();
+            } else {
+                sent();
+            }
         }
         interest();
     }
 
+    private void sent() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            end("broken: " + e.getMessage());
+        }
+    }
+
     private void interest() {
         if (open && connected && key != null && key.isValid()) {
-            int ops = (paused ? 0 : SelectionKey.OP_READ) | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
+            int ops = (paused || ended ? 0 : SelectionKey.OP_READ) | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
             if (key.interestOps() != ops) {
                 key.interestOps(ops);
             }
--- a/src/main/java/sprucelanding/loop/Loop.java
+++ b/src/main/java/sprucelanding/loop/Loop.java
@@ -111,8 +111,11 @@
     /** Runs it again and again, each time that long after the last; it stops with the loop. */
     public void every(double ms, Runnable what) {
         in(ms, () -> {
-            what.run();
-            every(ms, what);
+            try {
+                what.run();
+            } finally { // one that fails once is due again all the same
+                every(ms, what);
+            }
         });
     }
 
@@ -161,7 +164,7 @@
         }
     }
 
-    /** A connection that was accepted; its bytes come to the listener. */
+    /** A connection that was accepted; its bytes come to the listener. One that cannot be adopted is closed. */
     public Conn adopt(SocketChannel channel, int mostUnread, Conn.Listener listener) {
         try {
             channel.configureBlocking(false);
@@ -169,15 +172,17 @@
             Conn conn = new Conn(this, channel, mostUnread, listener);
             conn.key = channel.register(selector, SelectionKey.OP_READ, conn);
             return conn;
-        } catch (IOException e) {
-            throw new UncheckedIOException("cannot adopt a connection", e);
+        } catch (IOException | ClosedSelectorException e) {
+            shut(channel);
+            throw new UncheckedIOException("cannot adopt a connection", e instanceof IOException io ? io : new IOException(e));
         }
     }
 
     /** Dials; the listener hears connected or closed. From: the own address, or null for any. */
     public Conn dial(InetSocketAddress to, InetSocketAddress from, int mostUnread, Conn.Listener listener) {
+        SocketChannel channel = null;
         try {
-            SocketChannel channel = SocketChannel.open();
+            channel = SocketChannel.open();
             if (from != null) {
                 channel.bind(from);
             }
@@ -194,10 +199,21 @@
             }
             return conn;
         } catch (IOException e) {
+            shut(channel);
             throw new UncheckedIOException("cannot dial " + to, e);
         }
     }
 
+    private static void shut(SocketChannel channel) {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+        } catch (IOException e) {
+            // nothing is left to do with it
+        }
+    }
+
     /** Datagrams that come there go to the listener with their sender; longer ones are cut off. */
     public DatagramChannel datagrams(InetSocketAddress at, BiConsumer<InetSocketAddress, byte[]> came) {
         try {
--- a/src/main/java/sprucelanding/platform/Desk.java
+++ b/src/main/java/sprucelanding/platform/Desk.java
@@ -96,7 +96,7 @@
     /** Discovery's list or changes; first for the one held before this start. Throws Malformed. */
     boolean list(JsonObject list, boolean first) {
         boolean good = names.told(list, first, clock(), hears());
-        if (names.forget(clock())) {
+        if (names.forget(clock(), keeps::holds)) {
             keeps.forget(r -> names.of(r.id) == null);
         }
         return good;
--- a/src/main/java/sprucelanding/platform/Door.java
+++ b/src/main/java/sprucelanding/platform/Door.java
@@ -15,6 +15,7 @@
     private static final double LOOKS = 100; // ms
     private static final double SILENT = 10_000; // ms without a word on a stream that owes an answer
     private static final int HELD = 4 << 20; // bytes of unfinished messages in all
+    private static final double LEAVES = 500; // ms for one that is refused to take the answer and to close
     private static final int OWN = 40; // descriptors of the program itself, and some to spare
 
     private final Loop loop;
@@ -24,6 +25,8 @@
     private final int sockets;
     /** Connections that have not joined, oldest first. */
     private final Set<Visitor> strangers = new LinkedHashSet<>();
+    /** Connections that are refused and have not closed yet, oldest first. */
+    private final Set<Visitor> leaving = new LinkedHashSet<>();
     private final Set<Visitor> streams = new LinkedHashSet<>();
     private int open;
     private int held;
@@ -47,18 +50,22 @@
         loop.every(LOOKS, this::look);
     }
 
-    private void accepted(SocketChannel channel) {
+    /** One more connection; what cannot be taken on is closed and leaves nothing behind. */
+    void accepted(SocketChannel channel) {
         open++;
         Visitor visitor = new Visitor(this, desk, proxies, Loop.now());
         strangers.add(visitor);
         try {
             visitor.conn = loop.adopt(channel, Visitor.UNREAD, visitor);
         } catch (UncheckedIOException e) { // it is gone already
-            closed(visitor);
+            visitor.closed(null, "gone behind accept");
             return;
         }
-        while (open + desk.probing() + OWN > sockets && !strangers.isEmpty()) {
-            strangers.iterator().next().refuse("no room");
+        while (open + desk.probing() + OWN > sockets && !(leaving.isEmpty() && strangers.isEmpty())) {
+            if (leaving.isEmpty()) {
+                strangers.iterator().next().refuse("no room");
+            }
+            leaving.iterator().next().conn.close();
         }
     }
 
@@ -92,8 +99,11 @@
         return held <= HELD;
     }
 
+    /** It is told so, and has some time to take that. */
     void refused(Visitor visitor, String why) {
         strangers.remove(visitor);
+        leaving.add(visitor);
+        visitor.conn.finish(LEAVES);
         if (refused++ == 0) {
             said.say("a connection is refused: " + why);
         }
@@ -108,6 +118,13 @@
     void closed(Visitor visitor) {
         open--;
         strangers.remove(visitor);
+        leaving.remove(visitor);
         streams.remove(visitor);
     }
+
+    /** Connections, bytes of unfinished messages, and those that are not let in or are on their way out: none, where all have ended. */
+    String left() {
+        return open + " open, " + held + " bytes, " + strangers.size() + " strangers, " + leaving.size() + " leaving, " + streams.size()
+                + " streams";
+    }
 }
--- a/src/main/java/sprucelanding/platform/Names.java
+++ b/src/main/java/sprucelanding/platform/Names.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 import sprucelanding.Choice;
 import sprucelanding.opening.Malformed;
 
@@ -90,9 +91,9 @@
         return good;
     }
 
-    /** Drops the names of those long gone; the module has forgotten them by then. True if there were any. */
-    boolean forget(double now) {
-        byId.values().removeIf(n -> n.stage == Choice.Stage.GONE && now - n.goneAt > KEPT);
+    /** Drops the names of those long gone, but of none that a table still holds: its removal is owed. True if there were any. */
+    boolean forget(double now, LongPredicate held) {
+        byId.values().removeIf(n -> n.stage == Choice.Stage.GONE && now - n.goneAt > KEPT && !held.test(n.id));
         return byUid.values().removeIf(n -> !byId.containsKey(n.id));
     }
 
--- a/src/main/java/sprucelanding/platform/Probes.java
+++ b/src/main/java/sprucelanding/platform/Probes.java
@@ -1,5 +1,6 @@
 package sprucelanding.platform;
 
+import java.net.InetSocketAddress;
 import sprucelanding.Choice;
 import sprucelanding.loop.Get;
 import sprucelanding.loop.Http;
@@ -36,18 +37,23 @@
 
     void ask(Named replica) {
         open++;
+        InetSocketAddress at = replica.at;
+        double startedAt = replica.startedAt;
         new Get(loop, replica.at, null, target, timeout, new Get.Told() {
             @Override
             public void answered(Http.Message m) {
                 open--;
-                told.probed(replica.id, m.status() == 200 ? Choice.Answer.OK
-                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, report.load(m.body()));
+                boolean same = replica.startedAt == startedAt && replica.at.equals(at); // else another process answered
+                told.probed(replica.id, !same ? Choice.Answer.NONE : m.status() == 200 ? Choice.Answer.OK
+                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, same ? report.load(m.body()) : Double.NaN);
             }
 
             @Override
             public void failed(boolean reached, boolean late) {
                 open--;
-                told.probed(replica.id, late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
+                boolean same = replica.startedAt == startedAt && replica.at.equals(at);
+                told.probed(replica.id, !same ? Choice.Answer.NONE
+                        : late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
             }
         });
     }
--- a/src/main/java/sprucelanding/platform/Serve.java
+++ b/src/main/java/sprucelanding/platform/Serve.java
@@ -50,8 +50,8 @@
         }
     }
 
-    /** All that runs on the loop, before it does; throws UncheckedIOException too. */
-    static void open(Loop loop, Said said, Path file, Relay relay) throws IOException {
+    /** All that runs on the loop, before it does; where connections come in. Throws UncheckedIOException too. */
+    static Door open(Loop loop, Said said, Path file, Relay relay) throws IOException {
         Posting posting = Posting.read(file);
         Opening opening = posting.opening();
         Desk desk = new Desk(loop, said, opening, posting.seed());
@@ -85,5 +85,6 @@
         Door door = new Door(loop, desk, said, opening.proxies(), posting.sockets());
         door.opens(posting.listen());
         said.say(posting.name() + " serves at " + posting.listen());
+        return door;
     }
 }
--- a/src/main/java/sprucelanding/platform/Visitor.java
+++ b/src/main/java/sprucelanding/platform/Visitor.java
@@ -49,7 +49,7 @@
     @Override
     public void received(Conn c, ByteBuffer in) {
         heardAt = Loop.now();
-        while (in.hasRemaining() && c.open()) {
+        while (in.hasRemaining() && c.open() && !c.finishing()) {
             byte b = in.get();
             if (b == '\n') {
                 int n = size;
@@ -222,9 +222,10 @@
 
     /** It is told so and closed; nothing that it sent counts. */
     void refuse(String why) {
-        door.refused(this, why);
         conn.write(REFUSED);
-        conn.finish();
+        if (conn.open()) {
+            door.refused(this, why);
+        }
     }
 
     private void unreadable(String why) {
@@ -258,6 +259,12 @@
         conn.end("a newer stream of the proxy");
     }
 
+    /** One that has asked for a sign of life and ended its side is still owed the answer; a proxy has left by that. */
+    @Override
+    public boolean answersStill(Conn c) {
+        return who == Who.STRANGER;
+    }
+
     @Override
     public void closed(Conn c, String why) {
         door.holds(-line.length);
--- a/src/main/java/sprucelanding/platform/Watch.java
+++ b/src/main/java/sprucelanding/platform/Watch.java
@@ -2,7 +2,6 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.ParseException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,7 +11,6 @@
 import sprucelanding.loop.Conn;
 import sprucelanding.loop.Http;
 import sprucelanding.loop.Loop;
-import sprucelanding.opening.Malformed;
 
 /** The watch on discovery: dialled again whenever it breaks or falls silent, from the last list that was heard. */
 final class Watch {
@@ -148,7 +146,7 @@
                     return;
                 }
                 said.say("part of discovery's list cannot be read: asked for anew");
-            } catch (ParseException | UnsupportedOperationException | NumberFormatException | Malformed e) {
+            } catch (RuntimeException | StackOverflowError e) { // whatever it was: this list has not come into force
                 said.say("discovery's list cannot be read: " + e.getMessage());
             }
             whole = true;
--- a/src/main/java/sprucelanding/updates/Keeps.java
+++ b/src/main/java/sprucelanding/updates/Keeps.java
@@ -172,6 +172,11 @@
         }
     }
 
+    /** Whether a table that was ordered has a line of that replica. */
+    public boolean holds(long replica) {
+        return tables.values().stream().anyMatch(kept -> kept.lines.keySet().stream().anyMatch(r -> r.id == replica));
+    }
+
     /** No list and no order will name these again. */
     public void forget(Predicate<Replica> gone) {
         withdrawn.removeIf(gone);
--- a/src/test/java/sprucelanding/platform/NamesTest.java
+++ b/src/test/java/sprucelanding/platform/NamesTest.java
@@ -47,14 +47,24 @@
         long id = names.of("s-1").id;
         told(1000, Place.list(2, false, Place.entry("s-1", "gone")));
         told(100_000, Place.list(3, true, Place.entry("s-2", "draining")));
-        assertFalse(names.forget(180_000));
-        assertTrue(names.forget(182_000));
+        assertFalse(names.forget(180_000, x -> false));
+        assertTrue(names.forget(182_000, x -> false));
         assertNull(names.of("s-1"));
         assertNull(names.of(id));
         assertNotNull(names.of("s-2"));
         assertNotNull(names.of("s-3"));
         told(200_000, Place.list(4, true, Place.entry("s-2", "ready")));
-        assertTrue(names.forget(290_000), "gone is counted from when it was first told");
+        assertTrue(names.forget(290_000, x -> false), "gone is counted from when it was first told");
         assertNull(names.of("s-3"));
     }
+
+    @Test
+    void aNameIsKeptAsLongAsATableHoldsIt() {
+        assertTrue(told(0, Place.list(1, true, Place.entry("s-1", "ready"), Place.entry("s-2", "ready"))));
+        assertTrue(told(1000, Place.list(2, false, Place.entry("s-1", "gone"))));
+        long held = names.of("s-1").id;
+        assertFalse(names.forget(900_000, id -> id == held), "its removal is still owed, and goes by its name");
+        assertNotNull(names.of("s-1"));
+        assertTrue(names.forget(900_000, id -> false));
+    }
 }
--- a/src/test/java/sprucelanding/platform/Place.java
+++ b/src/test/java/sprucelanding/platform/Place.java
@@ -16,9 +16,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import sprucelanding.loop.Loop;
 
 /** A governor in service on loopback, with a discovery of the test's making. Waits are long; they end early where all is well. */
@@ -27,7 +31,7 @@
 
     /** One end of a connection, read by lines. */
     static final class Peer implements Closeable {
-        private final Socket socket;
+        final Socket socket;
         private final InputStream in;
 
         Peer(Socket socket) throws IOException {
@@ -83,6 +87,7 @@
     }
 
     final Loop loop;
+    final Door door;
     final Serve.Relay relay = new Serve.Relay();
     final ByteArrayOutputStream said = new ByteArrayOutputStream();
     private final Path posting;
@@ -107,7 +112,7 @@
         PrintStream err = new PrintStream(said, true, StandardCharsets.UTF_8);
         Said log = new Said(err, Loop::now);
         loop = new Loop("test", log::failed);
-        Serve.open(loop, log, posting, relay);
+        door = Serve.open(loop, log, posting, relay);
         Thread thread = new Thread(loop);
         thread.setDaemon(true);
         thread.start();
@@ -204,6 +209,33 @@
         return peer;
     }
 
+    /** Asks on the loop's thread. */
+    <T> T onLoop(Callable<T> what) throws InterruptedException {
+        FutureTask<T> task = new FutureTask<>(what);
+        loop.hand(task);
+        try {
+            return task.get(WAIT, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AssertionError("the loop did not do it", e);
+        }
+    }
+
+    /** Closes all peers; then no connection, byte or place in a list may be left of any of them. */
+    void nothingIsLeft() throws IOException, InterruptedException {
+        for (Peer each : peers) {
+            each.close();
+        }
+        String left = "";
+        for (int i = 0; i < WAIT / 10; i++) {
+            left = onLoop(door::left);
+            if (left.equals("0 open, 0 bytes, 0 strangers, 0 leaving, 0 streams")) {
+                return;
+            }
+            Thread.sleep(10);
+        }
+        throw new AssertionError(left);
+    }
+
     boolean said(String text) {
         return said.toString(StandardCharsets.UTF_8).contains(text);
     }
--- a/src/test/java/sprucelanding/platform/ProbesTest.java
+++ b/src/test/java/sprucelanding/platform/ProbesTest.java
@@ -51,6 +51,29 @@
         }
     }
 
+    @Test
+    void anAnswerOfAProcessThatWasReplacedMeanwhileTellsNothing() throws Exception {
+        BlockingQueue<String> told = new LinkedBlockingQueue<>();
+        try (Loop loop = Loop.started("probes"); ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Probes probes = new Probes(loop, true, 5000, new Report("cpu_share"), (id, answer, load) -> told.add(answer + " " + load));
+            Named named = new Named(1, "s-1");
+            named.at = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            loop.hand(() -> probes.ask(named));
+            try (Socket socket = server.accept()) {
+                loop.hand(() -> named.startedAt = 5); // told before the answer is
+                BlockingQueue<Integer> done = new LinkedBlockingQueue<>();
+                loop.hand(() -> done.add(1));
+                done.poll(15, TimeUnit.SECONDS);
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\ncontent-length: 19\r\n\r\nTEXT cpu_share=0.61"
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                assertEquals(Choice.Answer.NONE + " NaN", told.poll(15, TimeUnit.SECONDS));
+            }
+            BlockingQueue<Integer> open = new LinkedBlockingQueue<>();
+            loop.hand(() -> open.add(probes.open()));
+            assertEquals(0, open.poll(15, TimeUnit.SECONDS));
+        }
+    }
+
     private static Manner says(String answer) {
         return socket -> {
             OutputStream out = socket.getOutputStream();
