Dead finish without a bound is gone; a probe's two ends share one check

Read over: Conn.finish() had no caller left since refusals have a deadline, and kept a second way to close; Probes compared the replica asked with the replica now in two places, word for word. Behaviour is the same.

--- a/src/main/java/sprucelanding/loop/Conn.java
+++ b/src/main/java/sprucelanding/loop/Conn.java
@@ -87,14 +87,6 @@
         interest();
     }
 
-    /** Closes once all has been sent. */
-    public void finish() {
-        closing = true;
-        if (out.isEmpty()) {
-            close();
-        }
-    }
-
     /**
      * Closes once all has been sent and the peer has closed, or after so many ms. What the peer still says is read and dropped: closed
      * over unread bytes, the connection would be reset, and that can destroy what is on its way.
@@ -188,7 +180,7 @@
                 finish(ANSWERS);
                 interest();
             }
-        } else if (n > 0 && deadline == null) {
+        } else if (n > 0 && !closing) {
             in.flip();
             listener.received(this, in);
         }
@@ -208,7 +200,7 @@
             end("broken: " + e.getMessage());
         }
         if (open && closing && out.isEmpty()) {
-            if (deadline == null || ended) {
+            if (ended) {
                 close();
             } else {
                 sent();
--- a/src/main/java/sprucelanding/platform/Probes.java
+++ b/src/main/java/sprucelanding/platform/Probes.java
@@ -43,17 +43,20 @@
             @Override
             public void answered(Http.Message m) {
                 open--;
-                boolean same = replica.startedAt == startedAt && replica.at.equals(at); // else another process answered
-                told.probed(replica.id, !same ? Choice.Answer.NONE : m.status() == 200 ? Choice.Answer.OK
-                        : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR, same ? report.load(m.body()) : Double.NaN);
+                tells(m.status() == 200 ? Choice.Answer.OK : m.status() == 503 ? Choice.Answer.BUSY : Choice.Answer.ERROR,
+                        report.load(m.body()));
             }
 
             @Override
             public void failed(boolean reached, boolean late) {
                 open--;
+                tells(late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
+            }
+
+            /** Of another process that has the name by now, it tells nothing. */
+            private void tells(Choice.Answer answer, double load) {
                 boolean same = replica.startedAt == startedAt && replica.at.equals(at);
-                told.probed(replica.id, !same ? Choice.Answer.NONE
-                        : late ? Choice.Answer.SILENT : Choice.Answer.UNREACHABLE, Double.NaN);
+                told.probed(replica.id, same ? answer : Choice.Answer.NONE, same ? load : Double.NaN);
             }
         });
     }
