Review stand-ins: what is gone counts as told; parts that no case uses are out

Cause: a governor's new process is given a complete list, and a replica that this list lacks is gone for it; the check of the drain rule began anew with each process.

--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -71,9 +71,6 @@
         public double reportDelayMs = 500;
         public double noticeMs = 1800;
         public int standing = 6;
-
-        /** Messages to one proxy within 10 s; 0 for no limit. */
-        public int updateCap = 0;
         public long seed = 7;
     }
 
@@ -159,12 +156,6 @@
         public final String zone;
         public boolean isUp = true;
         public double util = 0.45;
-
-        /** Share of the requests that fail at once. */
-        public double failing;
-
-        /** Whether probes get no answer. */
-        public volatile boolean isHanging;
         public long bootMillis;
         public long served;
         ServerSocket server;
@@ -215,9 +206,6 @@
                             return;
                         }
                     }
-                    if (isHanging) {
-                        continue;
-                    }
                     byte[] body =
                             String.format(
                                             Locale.ROOT,
@@ -257,17 +245,6 @@
         }
     }
 
-    /** Starts a new replica; discovery lists it once it is told to. */
-    public Replica addReplica(String uid, String zone) throws IOException {
-        Replica replica = new Replica(uid, zone);
-        synchronized (this) {
-            replica.bootMillis = System.currentTimeMillis();
-            replicas.put(uid, replica);
-        }
-        log(uid, "started");
-        return replica;
-    }
-
     // ---------------------------------------------------------------- discovery
 
     /** Discovery's agent on the governor's machine: the whole list and the watch. */
@@ -303,9 +280,6 @@
         private Socket watch;
         private long sentRevision = -1;
 
-        /** Whether discovery is down: the agent says nothing. */
-        public volatile boolean silent;
-
 
         /** The state and the start that discovery has written to the governor, by replica. */
         private final Map<String, String> toldState = new HashMap<>();
@@ -333,7 +307,7 @@
             synchronized (Fleet.this) {
                 revision++;
                 for (Replica replica : changed) {
-                    Entry entry = entries.computeIfAbsent(replica.uid, x -> new Entry(replica));
+                    Entry entry = entries.get(replica.uid);
                     entry.state = state;
                     entry.bootMillis = replica.bootMillis;
                     entry.changedIn = revision;
@@ -374,6 +348,10 @@
                     toldState.put(entry.replica.uid, entry.state);
                     toldBoot.put(entry.replica.uid, entry.bootMillis);
                 }
+                if (!entry.state.equals("ready")) {
+                    // draining, or absent from a complete list, which means gone
+                    removalToldAt.put(entry.replica.uid, now());
+                }
             }
         }
 
@@ -431,7 +409,7 @@
                     write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     watch = socket;
                     sentRevision = index.find() ? Long.parseLong(index.group(1)) : -1;
-                    if (!publish() && !silent) {
+                    if (!publish()) {
                         chunk("\n");
                     }
                 }
@@ -453,7 +431,7 @@
 
         /** Writes what changed since the last line of the watch. Returns whether anything did. */
         private boolean publish() {
-            if (watch == null || silent || sentRevision >= revision) {
+            if (watch == null || sentRevision >= revision) {
                 return false;
             }
             StringBuilder text = new StringBuilder();
@@ -490,19 +468,12 @@
             return true;
         }
 
-        /** Discovery is up again: the agent says what it has. */
-        public void poke() {
-            synchronized (Fleet.this) {
-                publish();
-            }
-        }
-
         private void keepAlive() {
             while (!ended) {
                 try {
                     Thread.sleep(2000);
                     synchronized (Fleet.this) {
-                        if (watch != null && !silent) {
+                        if (watch != null) {
                             chunk("\n");
                         }
                     }
@@ -737,9 +708,7 @@
                 + micros(plan.transitMaxMs)
                 + ",\"unservedMaxUs\":"
                 + micros(plan.unservedMaxMs)
-                + ",\"updateCap\":"
-                + plan.updateCap
-                + ",\"warmKeys\":false,\"writers\":["
+                + ",\"updateCap\":0,\"warmKeys\":false,\"writers\":["
                 + writers
                 + "]},\"goal\":{\"whole\":0.7,\"worstClass\":0.1,\"worstTenant\":0.0,"
                 + "\"worstWindow\":0.2},\"kinds\":[\"m1\"],\"me\":0,\"membershipMode\":\"pushed\","
@@ -762,8 +731,6 @@
         public boolean isJoined;
         public double joinedAt;
         public boolean isStanding = true;
-        public boolean stopped;
-
         /** Whether the proxy reaches no governor; it goes on forwarding. */
         public volatile boolean cut;
 
@@ -851,7 +818,7 @@
         private void keepJoined() {
             while (!ended) {
                 try {
-                    if (stopped || cut) {
+                    if (cut) {
                         Thread.sleep(50);
                         continue;
                     }
@@ -1057,9 +1024,6 @@
                     return;
                 }
                 synchronized (Fleet.this) {
-                    if (stopped) {
-                        continue;
-                    }
                     for (int c = 0; c < plan.classes.length; c++) {
                         due[c] += plan.ratePerProxy[c] / 100;
                         while (due[c] >= 1) {
@@ -1105,14 +1069,18 @@
                 if (now() > since + plan.drainGraceMs + SLACK_MS) {
                     drainBreaks++;
                     if (drainBreaks <= 20) {
-                        log("proxy " + number, "DRAIN sent to " + uid);
+                        log(
+                                "proxy " + number,
+                                String.format(
+                                        Locale.ROOT,
+                                        "DRAIN a request went to %s %.1f s after the governor was"
+                                                + " told and the proxy had joined",
+                                        uid,
+                                        (now() - since) / 1000));
                     }
                 }
             }
-            boolean isGood =
-                    replica.isUp
-                            && !replica.isHanging
-                            && (replica.failing <= 0 || choice.nextDouble() >= replica.failing);
+            boolean isGood = replica.isUp;
             for (Collector collector : collectors) {
                 if (collector.zone.equals(zone)) {
                     collector.count(uid, isGood);
@@ -1179,24 +1147,6 @@
             }
         }
 
-        /** The proxy's process dies. */
-        public void die() {
-            synchronized (Fleet.this) {
-                stopped = true;
-                log("proxy " + number, "died");
-                breakStream();
-            }
-        }
-
-        /** The proxy's process starts again, with a standing table and nothing else. */
-        public void restart() {
-            synchronized (Fleet.this) {
-                startEmpty();
-                stopped = false;
-                log("proxy " + number, "started again");
-            }
-        }
-
         /** Checks the first rule at this moment. */
         void checkBare() {
             for (int c = 0; c < plan.classes.length; c++) {
@@ -1327,7 +1277,8 @@
         }
         int next = 0;
         for (int i = 0; i < plan.joining; i++) {
-            while (plan.zonesWithProxies != null && !plan.zonesWithProxies[next % plan.zones.length]) {
+            while (plan.zonesWithProxies != null
+                    && !plan.zonesWithProxies[next % plan.zones.length]) {
                 next++;
             }
             proxies.add(new ProxyStandIn(i, plan.zones[next % plan.zones.length]));
@@ -1365,6 +1316,19 @@
         log("replicas", "share of busy cores: " + util);
     }
 
+    /** The proxies of a zone reach no governor and go on forwarding, or reach it again. */
+    public void cutOff(String zone, boolean isCut) {
+        for (ProxyStandIn proxy : proxies) {
+            if (proxy.zone.equals(zone)) {
+                proxy.cut = isCut;
+                if (isCut) {
+                    proxy.breakStream();
+                }
+            }
+        }
+        log("zone " + zone, isCut ? "its proxies reach no governor" : "its proxies reach it again");
+    }
+
     /** Writes the state of all proxies to the record. */
     public synchronized void summary() {
         for (ProxyStandIn proxy : proxies) {
