Review case 3: proxies go on sending to replicas that left during a restart

Cause: a proxy is not bound for a class whose table has no endpoint (BindScheduler.nextTable), so it keeps the tables that it brings; what the governor's process has never had in a list is ejected by nobody.

Change: review/3 is now this case.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -d review/build ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp review/build:target/sprucelanding.jar review.IdleProxyRestart "$here"
+exec java -Xmx256m -cp review/build:target/sprucelanding.jar review.DrainWhileUnreachable "$here"
