Review scripts: exit 2 for whatever keeps a case from running; a stop at 110 s

Cause: an error of the JVM ended a script with the code 1 of a broken rule, no run had a hard end, and a script that was ended left its folder behind. Change: a code of their own for broken rules, a stop at 110 s, a trap that ends what was started, and cases 2 and 3 need the governor in service at the end.

--- a/review/1/SpoiltUsage.java
+++ b/review/1/SpoiltUsage.java
@@ -28,11 +28,11 @@
             }
             fleet.until(start + 16_000);
             fleet.setUtil(0.78);
-            exit = fleet.governor.isSilentFor(20_000, start + 55_000) ? 1 : 0;
+            exit = fleet.governor.isSilentFor(20_000, start + 55_000) ? Fleet.BROKEN : 0;
             fleet.summary();
             fleet.governor.logToRecord();
-            fleet.log("verdict", exit == 1 ? "the rule was broken" : "the rule held");
-        } catch (Exception e) {
+            fleet.log("verdict", exit == Fleet.BROKEN ? "the rule was broken" : "the rule held");
+        } catch (Throwable e) {
             e.printStackTrace();
             exit = 2;
         } finally {
--- a/review/2/ZoneLossAndRestart.java
+++ b/review/2/ZoneLossAndRestart.java
@@ -38,11 +38,14 @@
                 fleet.discovery.change("ready", lost);
             }
             fleet.until(start + 50_000);
-            exit = fleet.isBareRuleBroken() ? 1 : 0;
+            exit = fleet.isBareRuleBroken() ? Fleet.BROKEN : 0;
             fleet.summary();
+            if (!fleet.governor.answersPing(5000)) {
+                throw new IllegalStateException("the governor is not in service at the end");
+            }
             fleet.governor.logToRecord();
-            fleet.log("verdict", exit == 1 ? "the rule was broken" : "the rule held");
-        } catch (Exception e) {
+            fleet.log("verdict", exit == Fleet.BROKEN ? "the rule was broken" : "the rule held");
+        } catch (Throwable e) {
             e.printStackTrace();
             exit = 2;
         } finally {
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,12 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -d review/build ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec java -Xmx256m -cp review/build:target/sprucelanding.jar review.ZoneLossAndRestart "$here"
+java -Xmx256m -cp review/build:target/sprucelanding.jar review.ZoneLossAndRestart "$here" &
+pid=$!
+trap 'kill "$pid" 2>/dev/null; wait "$pid"; exit 2' INT TERM HUP
+wait "$pid"
+case $? in
+    0) exit 0 ;;
+    11) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/3/DrainWhileUnreachable.java
+++ b/review/3/DrainWhileUnreachable.java
@@ -44,11 +44,14 @@
                 fleet.cutOff("surrey", false);
             }
             fleet.until(start + 45_000);
-            exit = fleet.drainBreaks > 0 ? 1 : 0;
+            exit = fleet.drainBreaks > 0 ? Fleet.BROKEN : 0;
             fleet.summary();
+            if (!fleet.governor.answersPing(5000)) {
+                throw new IllegalStateException("the governor is not in service at the end");
+            }
             fleet.governor.logToRecord();
-            fleet.log("verdict", exit == 1 ? "the rule was broken" : "the rule held");
-        } catch (Exception e) {
+            fleet.log("verdict", exit == Fleet.BROKEN ? "the rule was broken" : "the rule held");
+        } catch (Throwable e) {
             e.printStackTrace();
             exit = 2;
         } finally {
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -74,6 +74,12 @@
         public long seed = 7;
     }
 
+    /** Exit code of a case whose rule was broken; run.sh turns it into 1, any other into 2. */
+    public static final int BROKEN = 11;
+
+    /** A case that has not ended by then is ended, ms. */
+    private static final long LONGEST_RUN_MS = 110_000;
+
     /** The slack of the time limits on sockets (protocol page, 'The rules on sockets'). */
     public static final double SLACK_MS = 300;
 
@@ -107,7 +113,17 @@
         }
         discovery = new Discovery();
         governor = new Governor();
-        Runtime.getRuntime().addShutdownHook(new Thread(governor::kill));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+        daemon(
+                () -> {
+                    try {
+                        Thread.sleep(LONGEST_RUN_MS);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    log("verdict", "not ended in time");
+                    System.exit(2);
+                });
     }
 
     public double now() {
@@ -143,7 +159,7 @@
         record.flush();
         try (var files = Files.walk(temp)) {
             files.sorted(java.util.Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
-        } catch (IOException e) {
+        } catch (IOException | java.io.UncheckedIOException e) {
             // the temporary folder stays
         }
     }
