--- a/src/main/java/sprucelanding/control/decision/LoadEstimator.java
+++ b/src/main/java/sprucelanding/control/decision/LoadEstimator.java
@@ -92,7 +92,7 @@
         stats.requestsReported(
                 attempts,
                 Math.max(0, Math.min(failed, attempts)),
-                Math.max(0, responseTime),
+                InputLimits.limitedResponseTime(responseTime),
                 time.now());
         boolean hasNewerCheck = time.now() - stats.lastCheckReportAt() < maxReportAgeMs / 2;
         stats.loadReported(hasNewerCheck ? Double.NaN : load, time.now());
--- a/src/main/java/sprucelanding/control/decision/Proxy.java
+++ b/src/main/java/sprucelanding/control/decision/Proxy.java
@@ -84,7 +84,8 @@
 
     /** Moves the smoothed demand halfway to the reported demand, requests per second. */
     void demandReported(int requestClass, double requestsPerSecond) {
-        demand[requestClass] += (requestsPerSecond - demand[requestClass]) / 2;
+        double smoothed = demand[requestClass] + (requestsPerSecond - demand[requestClass]) / 2;
+        demand[requestClass] = InputLimits.limitedDemand(smoothed);
     }
 
     /** Returns whether the proxy routes requests by the full table or by a part of that table. */
--- a/src/main/java/sprucelanding/control/decision/RoutingController.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingController.java
@@ -292,7 +292,7 @@
     }
 
     /**
-     * Processes a demand report of a proxy.
+     * Processes a demand report of a proxy. A report with a figure out of range is ignored.
      *
      * @param requestClass index of the request class
      * @param count number of requests that arrived in the reported interval
@@ -300,12 +300,11 @@
      */
     public void demandReported(int proxyId, int requestClass, int count, double intervalMs) {
         Proxy proxy = proxies.get(proxyId);
-        boolean valid =
+        boolean isValid =
                 requestClass >= 0
                         && requestClass < requestClasses.length
-                        && intervalMs > 0
-                        && count >= 0;
-        if (proxy != null && valid) {
+                        && InputLimits.isDemandReport(count, intervalMs);
+        if (proxy != null && isValid) {
             proxy.demandReported(requestClass, count / intervalMs * 1000);
         }
     }
@@ -320,7 +319,7 @@
      */
     public void proxyJoined(int id, int zone, double demand, boolean unconfigured) {
         proxyLeft(id);
-        double demandByClass = Math.max(0, demand) / requestClasses.length;
+        double demandByClass = InputLimits.limitedDemand(demand) / requestClasses.length;
         Proxy proxy =
                 new Proxy(id, zone, unconfigured, time.now(), demandByClass, requestClasses.length);
         proxies.add(proxy);
--- a/src/main/java/sprucelanding/control/decision/RoutingTable.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingTable.java
@@ -1,7 +1,6 @@
 package sprucelanding.control.decision;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -22,9 +21,6 @@
     /** The zone of a table for the proxies and endpoints of all zones. */
     static final int ALL_ZONES = -1;
 
-    /** The admission level of a request class for which none has been sent. */
-    private static final double ADMISSION_NOT_SENT = -1;
-
     private int number;
     private final RequestClass requestClass;
     private final int zone;
@@ -35,6 +31,10 @@
     private final Map<Endpoint, TableEntry> entries = new LinkedHashMap<>();
     private final Set<Proxy> users = new LinkedHashSet<>();
     private final Set<Proxy> receivers = new LinkedHashSet<>();
+
+    /** The request classes for which an admission level has been sent. */
+    private final BitSet hasSentAdmission = new BitSet();
+
     private final double[] sentAdmission;
     private final int[] sentRetryPolicy;
     private double sentWeight;
@@ -58,7 +58,6 @@
         this.requestClasses = fullTable == null ? new BitSet() : fullTable.requestClasses;
         this.sentAdmission = new double[classCount];
         this.sentRetryPolicy = new int[classCount];
-        Arrays.fill(sentAdmission, ADMISSION_NOT_SENT);
     }
 
     /**
@@ -245,15 +244,15 @@
     }
 
     /**
-     * Returns the admission level that was last sent for a request class: a share or a rate;
-     * negative if none has been sent.
+     * Returns the admission level that was last sent for a request class: a share or a rate. The
+     * value has no meaning if none has been sent.
      */
     double sentAdmission(int requestClassIndex) {
         return sentAdmission[requestClassIndex];
     }
 
     boolean hasSentAdmission(int requestClassIndex) {
-        return sentAdmission[requestClassIndex] >= 0;
+        return hasSentAdmission.get(requestClassIndex);
     }
 
     int sentRetryPolicy(int requestClassIndex) {
@@ -262,6 +261,7 @@
 
     void admissionSent(int requestClassIndex, double admitted, int retryPolicy, double now) {
         lastAdmissionTime = now;
+        hasSentAdmission.set(requestClassIndex);
         sentAdmission[requestClassIndex] = admitted;
         sentRetryPolicy[requestClassIndex] = retryPolicy;
     }
@@ -271,6 +271,6 @@
         number = CLEARED;
         receivers.clear();
         entries.values().forEach(entry -> entry.markSent(0));
-        Arrays.fill(sentAdmission, ADMISSION_NOT_SENT);
+        hasSentAdmission.clear();
     }
 }
--- a/src/main/java/sprucelanding/control/loadreport/LoadReportValidator.java
+++ b/src/main/java/sprucelanding/control/loadreport/LoadReportValidator.java
@@ -13,6 +13,9 @@
     /** Greatest plausible mean of the loads that responses reported. */
     private static final double MAX_LOAD_PER_SAMPLE = 1.5;
 
+    /** Shortest time span of a report; proxies report about once a second. */
+    private static final double MIN_SPAN_MILLIS = 1;
+
     private static final double MILLIS_PER_HOUR = 3_600_000;
 
     private final int requestClassCount;
@@ -23,9 +26,11 @@
 
     /** Returns why a report is invalid; empty if the report is valid. */
     Optional<String> problem(LoadReport report) {
-        if (!(report.spanMillis() > 0) || report.spanMillis() > MILLIS_PER_HOUR) {
+        if (!(report.spanMillis() >= MIN_SPAN_MILLIS) || report.spanMillis() > MILLIS_PER_HOUR) {
             return Optional.of(
-                    "spanMillis: expected a value above 0 and up to "
+                    "spanMillis: expected a value from "
+                            + MIN_SPAN_MILLIS
+                            + " to "
                             + MILLIS_PER_HOUR
                             + ", found "
                             + report.spanMillis());
--- a/src/main/java/sprucelanding/runtime/server/ControllerHost.java
+++ b/src/main/java/sprucelanding/runtime/server/ControllerHost.java
@@ -14,7 +14,7 @@
  * decision as one batch of updates. All methods but the constructor are called on the event loop's
  * thread.
  */
-final class ControllerHost {
+final class ControllerHost implements SiteNames {
     /** The text by which the soak finds failed decisions in the log. */
     static final String DECISION_FAILED_TEXT = "a decision failed";
 
@@ -125,21 +125,18 @@
         return endpoints.revision();
     }
 
-    /** Returns the number of the zone with the given name; -1 if there is none. */
-    int zoneIndex(String name) {
+    @Override
+    public int zoneIndex(String name) {
         return endpoints.zoneIndex(name);
     }
 
-    /**
-     * Returns whether discovery has listed the endpoint. An endpoint that was removed some time
-     * after it was gone is not known.
-     */
-    boolean isKnownEndpoint(String uid) {
+    @Override
+    public boolean isKnownEndpoint(String uid) {
         return endpoints.find(uid) != null;
     }
 
-    /** Returns the number of the request class with the given name; -1 if there is none. */
-    int requestClassIndex(String name) {
+    @Override
+    public int requestClassIndex(String name) {
         return requestClassNames.indexOf(name);
     }
 
--- a/src/main/java/sprucelanding/runtime/server/EndpointStatsMessage.java
+++ b/src/main/java/sprucelanding/runtime/server/EndpointStatsMessage.java
@@ -26,10 +26,10 @@
     private static final String RESPONSE_MILLIS = "avg";
     private static final String LOAD_REPORT = "report";
 
-    static EndpointStatsMessage parse(MessageFields fields, ControllerHost host) {
-        fields.zoneIndex(host); // must name a zone of the site, but is not used
+    static EndpointStatsMessage parse(MessageFields fields, SiteNames site) {
+        fields.zoneIndex(site); // must name a zone of the site, but is not used
         String endpointUid = fields.text(ENDPOINT);
-        if (!host.isKnownEndpoint(endpointUid)) {
+        if (!site.isKnownEndpoint(endpointUid)) {
             throw new MalformedInputException(
                     ENDPOINT + " names no known endpoint: " + MessageFields.excerpt(endpointUid));
         }
--- a/src/main/java/sprucelanding/runtime/server/JoinMessage.java
+++ b/src/main/java/sprucelanding/runtime/server/JoinMessage.java
@@ -20,9 +20,9 @@
      *
      * @param proxyCount the number of proxies; a proxy's number is below it
      */
-    static JoinMessage parse(MessageFields fields, ControllerHost host, int proxyCount) {
+    static JoinMessage parse(MessageFields fields, SiteNames site, int proxyCount) {
         int proxyId = fields.integer(PROXY, proxyCount - 1);
-        int zoneIndex = fields.zoneIndex(host);
+        int zoneIndex = fields.zoneIndex(site);
         double expectedRate = fields.number(EXPECTED_RATE);
         boolean withoutTables = fields.flag(WITHOUT_TABLES);
         return new JoinMessage(proxyId, zoneIndex, expectedRate, withoutTables);
--- a/src/main/java/sprucelanding/runtime/server/MessageFields.java
+++ b/src/main/java/sprucelanding/runtime/server/MessageFields.java
@@ -23,6 +23,9 @@
      */
     private static final double MAX_NUMBER = 1e7;
 
+    /** Shortest time window of a report. Proxies and collectors report about once a second. */
+    private static final double MIN_WINDOW_MS = 1;
+
     /** Maximum number of characters that an error message quotes from a peer's text. */
     private static final int MAX_EXCERPT_LENGTH = 60;
 
@@ -86,19 +89,19 @@
         return (int) number;
     }
 
-    /** Returns the length of the time window that a report covers, in ms; more than 0. */
+    /** Returns the length of the time window that a report covers, in ms. */
     double windowMillis() {
         double windowMillis = number(WINDOW);
-        if (windowMillis <= 0) {
+        if (windowMillis < MIN_WINDOW_MS) {
             throw new MalformedInputException(
-                    WINDOW + " is " + windowMillis + " ms, not more than 0 ms");
+                    WINDOW + " is " + windowMillis + " ms, expected at least " + MIN_WINDOW_MS);
         }
         return windowMillis;
     }
 
     /** Returns the number of the zone that the message names. */
-    int zoneIndex(ControllerHost host) {
-        int zoneIndex = host.zoneIndex(text(ZONE));
+    int zoneIndex(SiteNames site) {
+        int zoneIndex = site.zoneIndex(text(ZONE));
         if (zoneIndex < 0) {
             throw new MalformedInputException(
                     ZONE + " names no zone of the site: " + excerpt(text(ZONE)));
--- a/src/main/java/sprucelanding/runtime/server/UsageMessage.java
+++ b/src/main/java/sprucelanding/runtime/server/UsageMessage.java
@@ -23,9 +23,9 @@
      * @param onlyProxyId the sending proxy, which may report only on itself; empty for a collector
      */
     static UsageMessage parse(
-            MessageFields fields, ControllerHost host, int proxyCount, OptionalInt onlyProxyId) {
+            MessageFields fields, SiteNames site, int proxyCount, OptionalInt onlyProxyId) {
         int proxyId = fields.integer(JoinMessage.PROXY, proxyCount - 1);
-        int classIndex = host.requestClassIndex(fields.text(REQUEST_CLASS));
+        int classIndex = site.requestClassIndex(fields.text(REQUEST_CLASS));
         if (classIndex < 0 || onlyProxyId.isPresent() && onlyProxyId.getAsInt() != proxyId) {
             throw new MalformedInputException(
                     "kind names no request class ("
--- /dev/null
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -0,0 +1,41 @@
+package sprucelanding.control.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import org.junit.jupiter.api.Test;
+
+/** Figures that are out of range never enter the state of the decisions. */
+class SpoiltFiguresTest {
+    /** Smallest positive interval: dividing a count by it gives an infinite rate. */
+    private static final double DENORMAL_MS = 6.9e-310;
+
+    private static final int ENDPOINTS = 9;
+
+    /** Creates a host whose second request class has one table for each zone. */
+    private static FakeControllerHost hostWithOwnZoneClass() {
+        FakeControllerHost host =
+                new FakeControllerHost(
+                        AdmissionMode.SHARE,
+                        0,
+                        FakeControllerHost.requestClass(0, true, 1),
+                        new RequestClass(1, false, 2, 800, new BitSet(), new BitSet(), true));
+        host.controller.configureEndpointList(true, false, 0.2, 16_000);
+        host.listEndpoints(true, ENDPOINTS);
+        host.controller.proxyJoined(9, 0, 100, true);
+        host.decideAll();
+        return host;
+    }
+
+    /** Guards against a governor that hangs after one usage report with a denormal window. */
+    @Test
+    void demandReportOverDenormalIntervalIsIgnored() {
+        FakeControllerHost host = hostWithOwnZoneClass();
+        host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.6, 10));
+        host.controller.demandReported(9, 1, 8, DENORMAL_MS);
+        host.runSeconds(12, () -> host.reportHealthy(ENDPOINTS, 0.78, 10));
+        assertTrue(host.admittedByClass.get(0) < 1, "load above 75% is shed");
+        assertEquals(1, host.admittedByClass.get(1), "the class with more revenue is admitted");
+    }
+}
--- a/src/test/java/sprucelanding/runtime/server/RecordedPlatformTest.java
+++ b/src/test/java/sprucelanding/runtime/server/RecordedPlatformTest.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.BitSet;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import sprucelanding.control.decision.Endpoint;
 import sprucelanding.control.decision.HealthCheckResult;
@@ -23,33 +22,6 @@
     private static final int PROXIES = 8;
     private static final int MANY_ENDPOINTS = 4200; // more entries than one object holds
 
-    private static String endpoint(int number, String state, long bootMs) {
-        return "{\"uid\":\"e-%d\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"%s\",\"model\":\"%s\",\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%s,\"boot_ms\":%d}"
-                .formatted(
-                        number,
-                        9000 + number,
-                        number % 2 == 0 ? "north" : "south",
-                        number % 3 == 0 ? "slim" : "broad",
-                        number / 3,
-                        state,
-                        number % 3 == 0 ? "1.0" : "2.5",
-                        bootMs);
-    }
-
-    private static String list(int revision, boolean isFull, String... entries) {
-        return "{\"rev\":%d,\"all\":%b,\"targets\":[%s]}"
-                .formatted(revision, isFull, String.join(",", entries));
-    }
-
-    private static String ready(int revision, int endpoints) {
-        return list(
-                revision,
-                true,
-                IntStream.rangeClosed(1, endpoints)
-                        .mapToObj(number -> endpoint(number, "ready", 0))
-                        .toArray(String[]::new));
-    }
-
     /**
      * Covers joins, list changes, failing and unresponsive endpoints, overload, and proxies that
      * leave and return.
@@ -63,7 +35,7 @@
                                 endpoint.equals("e-7") && step[0] >= 30 && step[0] < 50
                                         ? HealthCheckResult.UNREACHABLE
                                         : HealthCheckResult.OK);
-        governor.applyList(ready(41, 10), ListOrigin.LAST_RUN);
+        governor.applyList(VirtualGovernor.readyList(41, 10), ListOrigin.LAST_RUN);
         for (step[0] = 0; step[0] < STEPS; step[0]++) {
             governor.advance(STEP_MS);
             applyStep(governor, step[0]);
@@ -80,23 +52,34 @@
             case 1 -> joinProxies(governor, 0, PROXIES, true);
             case 14 ->
                     governor.applyList(
-                            list(42, false, endpoint(2, "draining", 0), endpoint(3, "gone", 0)),
+                            VirtualGovernor.list(
+                                    42,
+                                    false,
+                                    VirtualGovernor.entry(2, "draining", 0),
+                                    VirtualGovernor.entry(3, "gone", 0)),
                             ListOrigin.DISCOVERY);
             case 18 ->
                     governor.applyList(
-                            list(43, false, endpoint(11, "ready", 1_700_000_004_000L)),
+                            VirtualGovernor.list(
+                                    43,
+                                    false,
+                                    VirtualGovernor.entry(11, "ready", 1_700_000_004_000L)),
                             ListOrigin.DISCOVERY);
             case 24 -> governor.removeProxy(2);
             case 27 -> joinProxies(governor, 2, 3, false);
             case 29 -> joinProxies(governor, 8, 11, false);
             case 55 ->
                     governor.applyList(
-                            list(44, false, endpoint(2, "ready", 0)), ListOrigin.DISCOVERY);
+                            VirtualGovernor.list(44, false, VirtualGovernor.entry(2, "ready", 0)),
+                            ListOrigin.DISCOVERY);
             case 60 ->
                     governor.applyList(
-                            list(45, false, endpoint(5, "ready", 1_700_000_015_000L)),
+                            VirtualGovernor.list(
+                                    45,
+                                    false,
+                                    VirtualGovernor.entry(5, "ready", 1_700_000_015_000L)),
                             ListOrigin.DISCOVERY);
-            case 110 -> governor.applyList(ready(46, 6), ListOrigin.DISCOVERY);
+            case 110 -> governor.applyList(VirtualGovernor.readyList(46, 6), ListOrigin.DISCOVERY);
             default -> {
                 // only time passes
             }
@@ -131,7 +114,7 @@
     @Test
     void orderedUpdatesMatchTheRecording() throws IOException {
         VirtualGovernor governor = new VirtualGovernor(endpoint -> HealthCheckResult.OK);
-        governor.applyList(ready(41, 6), ListOrigin.LAST_RUN);
+        governor.applyList(VirtualGovernor.readyList(41, 6), ListOrigin.LAST_RUN);
         joinProxies(governor, 0, 4, true);
         governor.advance(STEP_MS);
         governor.decide();
@@ -144,7 +127,7 @@
     @Test
     void tableOfManyEntriesMatchesTheRecording() throws IOException {
         VirtualGovernor governor = new VirtualGovernor(endpoint -> HealthCheckResult.OK);
-        governor.applyList(ready(41, MANY_ENDPOINTS), ListOrigin.LAST_RUN);
+        governor.applyList(VirtualGovernor.readyList(41, MANY_ENDPOINTS), ListOrigin.LAST_RUN);
         governor.decide();
         governor.joinProxy(0, "north", 10, true);
         for (int step = 0; step < 60 && !governor.proxiesById.containsKey(0); step++) {
@@ -299,7 +282,9 @@
             governor.setEjected(listedEndpoint(1), false);
             governor.setEjected(listedEndpoint(3), true);
             writeBatch("and is told of withdrawals in any case");
-            governor.applyList(list(42, false, endpoint(1, "draining", 0)), ListOrigin.DISCOVERY);
+            governor.applyList(
+                    VirtualGovernor.list(42, false, VirtualGovernor.entry(1, "draining", 0)),
+                    ListOrigin.DISCOVERY);
             governor.setWeight(WIDE, listedEndpoint(1), 9);
             governor.setWeight(WIDE, listedEndpoint(2), 9);
             bind(WIDE, 3, ALL);
--- a/src/test/java/sprucelanding/runtime/server/VirtualGovernor.java
+++ b/src/test/java/sprucelanding/runtime/server/VirtualGovernor.java
@@ -7,7 +7,9 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import sprucelanding.control.decision.ControllerOutput;
 import sprucelanding.control.decision.DecisionEvent;
 import sprucelanding.control.decision.Endpoint;
@@ -17,6 +19,7 @@
 import sprucelanding.control.decision.RoutingController;
 import sprucelanding.control.distribution.ProxyUpdate;
 import sprucelanding.control.distribution.TableDistributor;
+import sprucelanding.control.settings.MalformedInputException;
 import sprucelanding.control.settings.SettingsReader;
 
 /**
@@ -24,7 +27,7 @@
  * messages, and writes the bytes of the updates to a transcript. Updates are acknowledged and
  * health checks are completed at the next step.
  */
-final class VirtualGovernor implements ControllerOutput {
+final class VirtualGovernor implements ControllerOutput, SiteNames {
     /** The source of the results of health checks. */
     interface HealthCheckResults {
         HealthCheckResult resultFor(String uid);
@@ -34,6 +37,7 @@
 
     private record Acknowledgement(int proxyId, int acknowledgementId) {}
 
+    private static final int MAX_ORDERS_PER_DECISION = 100_000;
     private static final double START_MS = 1_700_000_000_000.0;
     private static final String SETTINGS =
             "{\"classes\":[{\"name\":\"browse\",\"effect\":\"pure\",\"worth\":1,\"promiseUs\":600000},"
@@ -77,6 +81,33 @@
         controller.setTime(START_MS);
     }
 
+    static String entry(int number, String state, long bootMs) {
+        return "{\"uid\":\"e-%d\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"%s\",\"model\":\"%s\",\"pod_group\":%d,\"state\":\"%s\",\"capacity_hint\":%s,\"boot_ms\":%d}"
+                .formatted(
+                        number,
+                        9000 + number,
+                        number % 2 == 0 ? "north" : "south",
+                        number % 3 == 0 ? "slim" : "broad",
+                        number / 3,
+                        state,
+                        number % 3 == 0 ? "1.0" : "2.5",
+                        bootMs);
+    }
+
+    static String list(int revision, boolean isFull, String... entries) {
+        return "{\"rev\":%d,\"all\":%b,\"targets\":[%s]}"
+                .formatted(revision, isFull, String.join(",", entries));
+    }
+
+    static String readyList(int revision, int endpoints) {
+        return list(
+                revision,
+                true,
+                IntStream.rangeClosed(1, endpoints)
+                        .mapToObj(number -> entry(number, "ready", 0))
+                        .toArray(String[]::new));
+    }
+
     /** Advances the clock and delivers what is due, without a decision. */
     void advance(double millis) {
         elapsedMillis += millis;
@@ -117,14 +148,74 @@
                 directory.find(endpoint).id(), attempts, failed, responseMillis, load);
     }
 
+    /**
+     * Processes a message as the sessions of clients do.
+     *
+     * @throws MalformedInputException if the message is dropped
+     */
+    void receive(String line) {
+        MessageFields fields = MessageFields.parse(line);
+        switch (fields.type()) {
+            case JOINED -> {
+                JoinMessage joined = JoinMessage.parse(fields, this, settings.proxyCount());
+                distributor.proxyJoined(joined.proxyId(), joined.withoutTables());
+                controller.proxyJoined(
+                        joined.proxyId(),
+                        joined.zoneIndex(),
+                        joined.expectedRate(),
+                        joined.withoutTables());
+            }
+            case APPLIED ->
+                    controller.acknowledged(AppliedMessage.parse(fields).acknowledgementId());
+            case USAGE -> {
+                UsageMessage usage =
+                        UsageMessage.parse(
+                                fields, this, settings.proxyCount(), OptionalInt.empty());
+                controller.demandReported(
+                        usage.proxyId(),
+                        usage.classIndex(),
+                        usage.requestCount(),
+                        usage.windowMillis());
+            }
+            case ENDPOINT_STATS -> {
+                EndpointStatsMessage stats = EndpointStatsMessage.parse(fields, this);
+                double load = new LoadReportParser(settings.loadField()).load(stats.loadReport());
+                reportStats(
+                        stats.endpointUid(),
+                        stats.attempts(),
+                        stats.failedAttempts(),
+                        stats.responseMillis(),
+                        load);
+            }
+            default -> throw new MalformedInputException("message type not accepted");
+        }
+    }
+
     /** Runs the decisions and writes the resulting updates. */
     void decide() {
-        while (controller.decide(this)) {
-            continue;
+        for (int orders = 0; controller.decide(this); orders++) {
+            if (orders > MAX_ORDERS_PER_DECISION) {
+                throw new AssertionError("a decision does not end");
+            }
         }
         writeUpdates();
     }
 
+    @Override
+    public int zoneIndex(String name) {
+        return directory.zoneIndex(name);
+    }
+
+    @Override
+    public int requestClassIndex(String name) {
+        return settings.names("classes").indexOf(name);
+    }
+
+    @Override
+    public boolean isKnownEndpoint(String uid) {
+        return directory.find(uid) != null;
+    }
+
     /** Ends the batch and writes the update of each proxy. */
     void writeUpdates() {
         encoder.beginBatch();
