--- a/src/main/java/sprucelanding/control/decision/BindScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/BindScheduler.java
@@ -47,6 +47,7 @@
     private final AdmissionController admission;
     private final StarterTables starterTables;
     private final EndpointRegistry endpoints;
+    private final RestorationScheduler restorations;
     private final int requestClassCount;
     private double drainGrace = Double.POSITIVE_INFINITY;
 
@@ -75,6 +76,7 @@
             AdmissionController admission,
             StarterTables starterTables,
             EndpointRegistry endpoints,
+            RestorationScheduler restorations,
             int requestClassCount) {
         this.time = time;
         this.proxies = proxies;
@@ -86,6 +88,7 @@
         this.admission = admission;
         this.starterTables = starterTables;
         this.endpoints = endpoints;
+        this.restorations = restorations;
         this.requestClassCount = requestClassCount;
     }
 
@@ -184,6 +187,7 @@
         bindsSent++;
         if (!needsAnyBind(proxy)) {
             drains.tablesCompleted(proxy.id, channel.nextMessageNumber());
+            restorations.proxyBound(proxy);
         }
         for (Endpoint endpoint : table.endpoints()) {
             if (!endpoint.isAvailable() && table.sendsTrafficTo(endpoint)) {
--- a/src/main/java/sprucelanding/control/decision/ControllerOutput.java
+++ b/src/main/java/sprucelanding/control/decision/ControllerOutput.java
@@ -1,6 +1,7 @@
 package sprucelanding.control.decision;
 
 import java.util.BitSet;
+import java.util.Collection;
 
 /**
  * The orders that {@link RoutingController} gives to its host. All orders given at one time are
@@ -33,6 +34,15 @@
      */
     void setEjected(Endpoint endpoint, boolean ejected);
 
+    /**
+     * Ends any ejection of an endpoint that the given proxies may still hold, in addition to the
+     * restorations that {@link #setEjected} orders. Only a host that has called {@link
+     * RoutingController#configureKeptEjections} gets this order.
+     */
+    default void restoreAt(Endpoint endpoint, Collection<Proxy> proxies) {
+        throw new UnsupportedOperationException("the host's proxies keep no ejections");
+    }
+
     /**
      * Sets the admission level of a request class for the proxies of a table.
      *
--- a/src/main/java/sprucelanding/control/decision/EjectionQueue.java
+++ b/src/main/java/sprucelanding/control/decision/EjectionQueue.java
@@ -23,6 +23,7 @@
     private final DrainTracker drains;
     private final JoinForecast joins;
     private final BindScheduler binds;
+    private final RestorationScheduler restorations;
 
     /**
      * Endpoints that a list update contained or omitted. The queue may contain an endpoint several
@@ -46,7 +47,8 @@
             ChannelBudget channel,
             DrainTracker drains,
             JoinForecast joins,
-            BindScheduler binds) {
+            BindScheduler binds,
+            RestorationScheduler restorations) {
         this.time = time;
         this.proxies = proxies;
         this.tables = tables;
@@ -54,6 +56,7 @@
         this.drains = drains;
         this.joins = joins;
         this.binds = binds;
+        this.restorations = restorations;
     }
 
     /** Adds an endpoint whose listed state may require an ejection or a restoration. */
@@ -210,6 +213,8 @@
         endpoint.setEjectedFromAllTables(ejected);
         if (ejected) {
             drains.ejectedEverywhere(endpoint.id, channel.nextMessageNumber());
+        } else {
+            restorations.restoredEverywhere(endpoint);
         }
         output.setEjected(endpoint, ejected);
     }
--- a/src/main/java/sprucelanding/control/decision/OutputScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/OutputScheduler.java
@@ -15,6 +15,8 @@
     private final HealthCheckScheduler healthChecks;
     private final EjectionQueue ejections;
     private final BindScheduler binds;
+    private final RestorationScheduler restorations;
+    private final EndpointRegistry endpoints;
     private final WeightUpdateScheduler weightUpdates;
     private final AdmissionScheduler admissions;
     private final StarterTableScheduler starterTableUpdates;
@@ -38,6 +40,8 @@
             HealthCheckScheduler healthChecks) {
         this.admission = admission;
         this.healthChecks = healthChecks;
+        this.endpoints = endpoints;
+        restorations = new RestorationScheduler(time, tables, channel);
         starterTables = new StarterTables(tables, random);
         binds =
                 new BindScheduler(
@@ -51,8 +55,11 @@
                         admission,
                         starterTables,
                         endpoints,
+                        restorations,
                         requestClasses.length);
-        ejections = new EjectionQueue(time, proxies, tables, channel, drains, joins, binds);
+        ejections =
+                new EjectionQueue(
+                        time, proxies, tables, channel, drains, joins, binds, restorations);
         weightUpdates =
                 new WeightUpdateScheduler(
                         time, tables, proxies, channel, drains, weights, slowStart, admission,
@@ -97,15 +104,28 @@
 
     void endpointsForgotten(Collection<Endpoint> endpoints) {
         ejections.forget(endpoints);
+        restorations.endpointsForgotten(endpoints);
         weightUpdates.invalidate();
     }
 
-    void proxyJoined() {
+    /** Configures that the host's proxies keep ejections when their stream ends. */
+    void configureKeptEjections() {
+        restorations.enable();
+    }
+
+    /** Notes that an endpoint has entered service after the first list. */
+    void endpointReturned(Endpoint endpoint) {
+        restorations.endpointReturned(endpoint);
+    }
+
+    void proxyJoined(Proxy proxy) {
         binds.proxyJoined();
         ejections.proxyJoined();
+        restorations.proxyJoined(proxy);
     }
 
     void proxyLeft(Proxy proxy) {
+        restorations.proxyLeft(proxy);
         starterTables.release(proxy);
     }
 
@@ -159,7 +179,9 @@
                 || binds.hasDeadline() && binds.sendNext(output)
                 || admission.isOverloaded() && admissions.sendNext(output, isOrdinaryAllowed)
                 || weightUpdates.sendNext(output, isOrdinaryAllowed)
+                || restorations.sendUrgent(output)
                 || binds.sendNext(output)
-                || admissions.sendNext(output, isOrdinaryAllowed);
+                || admissions.sendNext(output, isOrdinaryAllowed)
+                || restorations.sendNext(output, endpoints.available());
     }
 }
--- a/src/main/java/sprucelanding/control/decision/RoutingController.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingController.java
@@ -181,6 +181,11 @@
         loads.configure(reportIntervalMs);
     }
 
+    /** Configures that proxies keep ejections by any governor until they are restored. */
+    public void configureKeptEjections() {
+        scheduler.configureKeptEjections();
+    }
+
     /** Sets the time of the next events, ms. */
     public void setTime(double now) {
         time.advanceTo(now);
@@ -300,11 +305,8 @@
      */
     public void demandReported(int proxyId, int requestClass, int count, double intervalMs) {
         Proxy proxy = proxies.get(proxyId);
-        boolean isValid =
-                requestClass >= 0
-                        && requestClass < requestClasses.length
-                        && InputLimits.isDemandReport(count, intervalMs);
-        if (proxy != null && isValid) {
+        boolean isKnownClass = requestClass >= 0 && requestClass < requestClasses.length;
+        if (proxy != null && isKnownClass && InputLimits.isDemandReport(count, intervalMs)) {
             proxy.demandReported(requestClass, count / intervalMs * 1000);
         }
     }
@@ -326,7 +328,7 @@
         subsets.assign(proxy);
         drains.proxyJoined(id, time.now(), channel.nextMessageNumber());
         joins.proxyJoined();
-        scheduler.proxyJoined();
+        scheduler.proxyJoined(proxy);
     }
 
     /** Processes the end of a proxy's stream. Has no effect if the proxy has not joined. */
--- a/src/main/java/sprucelanding/control/decision/StateUpdater.java
+++ b/src/main/java/sprucelanding/control/decision/StateUpdater.java
@@ -85,6 +85,9 @@
         // A new endpoint therefore has to pass health checks first.
         endpoint.ejection().newProcessStarted(healthChecks.isEnabled() && !onFirstList);
         weights.beginSlowStart(endpoint, endpoints.available(), onFirstList);
+        if (!onFirstList) {
+            scheduler.endpointReturned(endpoint);
+        }
     }
 
     private void ejectUnresponsive() {
--- a/src/main/java/sprucelanding/control/distribution/TableDistributor.java
+++ b/src/main/java/sprucelanding/control/distribution/TableDistributor.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -185,6 +186,19 @@
         }
     }
 
+    /**
+     * Restores an endpoint at some proxies, see {@link ControllerOutput#restoreAt}; does nothing at
+     * proxies that have left.
+     */
+    public void restoreAt(Endpoint endpoint, Collection<Proxy> proxies) {
+        for (Proxy proxy : proxies) {
+            ConnectedProxy connectedProxy = proxiesById.get(proxy.id);
+            if (connectedProxy != null) {
+                connectedProxy.restore(endpoint);
+            }
+        }
+    }
+
     /** Returns whether any ordered table has an entry for the endpoint. */
     public boolean hasEntryFor(long endpointId) {
         for (OrderedTable table : tablesById.values()) {
--- a/src/main/java/sprucelanding/runtime/server/ControllerHost.java
+++ b/src/main/java/sprucelanding/runtime/server/ControllerHost.java
@@ -40,6 +40,7 @@
     ControllerHost(EventLoop loop, EventLog eventLog, SettingsReader settings, long seed) {
         this.eventLog = eventLog;
         controller = settings.newController(seed);
+        controller.configureKeptEjections();
         scheduler =
                 new DecisionScheduler(
                         loop, clock, controller, settings.decisionIntervalMillis(), this::decide);
--- a/src/main/java/sprucelanding/runtime/server/OrderForwarder.java
+++ b/src/main/java/sprucelanding/runtime/server/OrderForwarder.java
@@ -1,6 +1,7 @@
 package sprucelanding.runtime.server;
 
 import java.util.BitSet;
+import java.util.Collection;
 import sprucelanding.control.decision.ControllerOutput;
 import sprucelanding.control.decision.DecisionEvent;
 import sprucelanding.control.decision.Endpoint;
@@ -47,6 +48,11 @@
         distributor.setEjected(endpoint, ejected);
     }
 
+    @Override
+    public void restoreAt(Endpoint endpoint, Collection<Proxy> proxies) {
+        distributor.restoreAt(endpoint, proxies);
+    }
+
     @Override
     public void setAdmission(
             int table, RequestClass requestClass, double admittedShare, int retryPolicy) {
--- a/src/test/java/sprucelanding/runtime/server/VirtualGovernor.java
+++ b/src/test/java/sprucelanding/runtime/server/VirtualGovernor.java
@@ -5,10 +5,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
 import sprucelanding.control.decision.ControllerOutput;
 import sprucelanding.control.decision.DecisionEvent;
@@ -38,7 +40,7 @@
     private record Acknowledgement(int proxyId, int acknowledgementId) {}
 
     private static final int MAX_ORDERS_PER_DECISION = 100_000;
-    private static final double START_MS = 1_700_000_000_000.0;
+    static final double START_MS = 1_700_000_000_000.0;
     private static final String SETTINGS =
             "{\"classes\":[{\"name\":\"browse\",\"effect\":\"pure\",\"worth\":1,\"promiseUs\":600000},"
                     + "{\"name\":\"order\",\"effect\":\"side_effect\",\"worth\":3,\"promiseUs\":900000},"
@@ -70,6 +72,9 @@
     final Map<Integer, Proxy> proxiesById = new TreeMap<>();
     final Map<Integer, RequestClass> requestClassesByIndex = new TreeMap<>();
 
+    /** Receives each line of an update with the number of its proxy. */
+    BiConsumer<Integer, String> updateListener = (proxy, line) -> {};
+
     private final HealthCheckResults healthCheckResults;
     private final List<Timer> timers = new ArrayList<>();
     private final List<Acknowledgement> acknowledgements = new ArrayList<>();
@@ -77,8 +82,18 @@
     private double elapsedMillis;
 
     VirtualGovernor(HealthCheckResults healthCheckResults) {
+        this(healthCheckResults, 0);
+    }
+
+    /**
+     * Creates a governor without endpoints and proxies.
+     *
+     * @param elapsedMillis time of its start on the virtual clock
+     */
+    VirtualGovernor(HealthCheckResults healthCheckResults, double elapsedMillis) {
         this.healthCheckResults = healthCheckResults;
-        controller.setTime(START_MS);
+        this.elapsedMillis = elapsedMillis;
+        controller.setTime(START_MS + elapsedMillis);
     }
 
     static String entry(int number, String state, long bootMs) {
@@ -225,7 +240,9 @@
     private void write(ProxyUpdate update) {
         transcript.append("at ").append((long) elapsedMillis).append(" ms to proxy ");
         transcript.append(update.proxyId()).append('\n');
-        transcript.append(new String(encoder.encode(update), StandardCharsets.UTF_8));
+        String lines = new String(encoder.encode(update), StandardCharsets.UTF_8);
+        transcript.append(lines);
+        lines.lines().forEach(line -> updateListener.accept(update.proxyId(), line));
         if (update.acknowledgementId() != ProxyUpdate.NO_ACKNOWLEDGEMENT) {
             acknowledgements.add(new Acknowledgement(update.proxyId(), update.acknowledgementId()));
         }
@@ -247,6 +264,11 @@
         distributor.setEjected(endpoint, isEjected);
     }
 
+    @Override
+    public void restoreAt(Endpoint endpoint, Collection<Proxy> proxies) {
+        distributor.restoreAt(endpoint, proxies);
+    }
+
     @Override
     public void setAdmission(
             int table, RequestClass requestClass, double admittedShare, int retryPolicy) {
