Give the bytes of unfinished messages one owner; refused growth is not counted

Cause: ByteBudget.reserve counted a reservation that it refused, and nobody released it. After an unreadable long line on a joined connection, the buffer was released at the end of the connection and again by shrink.

Evidence: with the check of released resources at the end of every server test, three tests fail on the code before: 1,048,576 and 1,046,528 bytes reserved with no connection open, and -524,032 after an unreadable long line.

Change: a refused reservation reserves nothing; LineFramer knows what it has reserved and releases each byte once; ByteBudget rejects a release of more than is reserved. Each ServerHarness checks at its end that nothing is held (the net).

Seen to fail before the fix: LineFramerTest.refusedGrowthIsNotReserved (20,024 for 19,512) and bufferThatWasReleasedIsNotReleasedAgain (-8,192), GovernorServerTest.longMessageIsReadAfterEndlessMessagesWereRefused and, by the check at the end, totalSizeOfUnfinishedMessagesIsBounded and deeplyNestedJsonIsRejected.

--- a/src/main/java/sprucelanding/runtime/server/ByteBudget.java
+++ b/src/main/java/sprucelanding/runtime/server/ByteBudget.java
@@ -13,16 +13,24 @@
     }
 
     /**
-     * Reserves bytes. The bytes are counted as reserved even if they exceed the budget.
+     * Reserves bytes if they fit.
      *
-     * @return whether the reserved bytes are within the budget
+     * @return whether the bytes are reserved; nothing is reserved otherwise
      */
     boolean reserve(int byteCount) {
+        if (byteCount > maxBytes - reservedBytes) {
+            return false;
+        }
         reservedBytes += byteCount;
-        return reservedBytes <= maxBytes;
+        return true;
     }
 
+    /** Releases bytes that were reserved. */
     void release(int byteCount) {
+        if (byteCount > reservedBytes) {
+            throw new IllegalStateException(
+                    "released " + byteCount + " bytes of " + reservedBytes + " reserved bytes");
+        }
         reservedBytes -= byteCount;
     }
 
--- a/src/main/java/sprucelanding/runtime/server/LineFramer.java
+++ b/src/main/java/sprucelanding/runtime/server/LineFramer.java
@@ -5,7 +5,8 @@
 
 /**
  * A splitter of a connection's bytes into lines. Its buffer grows by doubling, reserves its growth
- * from a budget that all connections share, and shrinks after a long line.
+ * from a budget that all connections share, and shrinks after a long line. The splitter owns the
+ * bytes that it has reserved and releases each of them once.
  */
 final class LineFramer {
     /** The effect of an appended byte. */
@@ -29,9 +30,25 @@
     private byte[] lineBuffer = new byte[INITIAL_BYTES];
     private int lineLength;
 
+    /** Bytes that are reserved and not released yet. */
+    private int reservedBytes;
+
     LineFramer(ByteBudget budget) {
         this.budget = budget;
-        budget.reserve(lineBuffer.length);
+        reserve(lineBuffer.length);
+    }
+
+    private boolean reserve(int byteCount) {
+        boolean isReserved = budget.reserve(byteCount);
+        reservedBytes += isReserved ? byteCount : 0;
+        return isReserved;
+    }
+
+    private void releaseDownTo(int byteCount) {
+        if (reservedBytes > byteCount) {
+            budget.release(reservedBytes - byteCount);
+            reservedBytes = byteCount;
+        }
     }
 
     /**
@@ -47,7 +64,7 @@
             return Outcome.LINE_TOO_LONG;
         }
         if (lineLength == lineBuffer.length) {
-            if (!budget.reserve(lineLength)) {
+            if (!reserve(lineLength)) {
                 return Outcome.BUDGET_EXCEEDED;
             }
             lineBuffer = Arrays.copyOf(lineBuffer, 2 * lineLength);
@@ -67,13 +84,13 @@
     /** Releases the memory of a long line. Called once the line has been handled. */
     void shrink() {
         if (lineBuffer.length > MAX_RETAINED_BYTES) {
-            budget.release(lineBuffer.length - INITIAL_BYTES);
+            releaseDownTo(INITIAL_BYTES);
             lineBuffer = new byte[INITIAL_BYTES];
         }
     }
 
     /** Releases the whole buffer when the connection has ended. */
     void release() {
-        budget.release(lineBuffer.length);
+        releaseDownTo(0);
     }
 }
--- a/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
+++ b/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
@@ -183,6 +183,29 @@
         }
     }
 
+    /** Guards against a memory budget that endless messages use up for good. */
+    @Test
+    void longMessageIsReadAfterEndlessMessagesWereRefused() throws IOException {
+        try (ServerHarness harness = new ServerHarness(folder)) {
+            for (int round = 0; round < 3; round++) {
+                for (int proxy = 0; proxy < 8; proxy++) {
+                    sendEndlessMessage(harness.joinedStream(proxy));
+                }
+            }
+            ServerHarness.Peer healthy = harness.joinedStream(59);
+            healthy.send("{\"msg\":\"ping\",\"pad\":\"" + "x".repeat(4000) + "\"}\n");
+            assertNotNull(healthy.readUntil("pong"));
+        }
+    }
+
+    private static void sendEndlessMessage(ServerHarness.Peer stream) throws IOException {
+        try {
+            stream.send("{\"msg\":\"ping\",\"pad\":\"" + "x".repeat(600_000));
+        } catch (IOException e) {
+            // closed before all was sent
+        }
+    }
+
     @Test
     void totalSizeOfUnfinishedMessagesIsBounded() throws IOException {
         try (ServerHarness harness = new ServerHarness(folder)) {
@@ -191,11 +214,7 @@
             for (int proxy = 0; proxy < 12; proxy++) {
                 ServerHarness.Peer peer = harness.joinedStream(proxy);
                 streams.add(peer);
-                try {
-                    peer.send("{\"msg\":\"ping\",\"pad\":\"" + "x".repeat(600_000));
-                } catch (IOException e) {
-                    // closed before all was sent
-                }
+                sendEndlessMessage(peer);
             }
             int survivors = 0;
             for (ServerHarness.Peer stream : streams) {
--- a/src/test/java/sprucelanding/runtime/server/LineFramerTest.java
+++ b/src/test/java/sprucelanding/runtime/server/LineFramerTest.java
@@ -61,4 +61,25 @@
         assertEquals(LineFramer.Outcome.INCOMPLETE, append("x".repeat(512)));
         assertEquals(LineFramer.Outcome.BUDGET_EXCEEDED, append("x"));
     }
+
+    /** Guards against refused growth that is counted for good and closes later connections. */
+    @Test
+    void refusedGrowthIsNotReserved() {
+        budget.reserve(19_000);
+        append("x".repeat(513));
+        assertEquals(19_000 + 2 * INITIAL_BYTES, budget.reservedBytes());
+        framer.release();
+        assertEquals(19_000, budget.reservedBytes());
+    }
+
+    /** Guards against bytes that are released twice when a long line closes the connection. */
+    @Test
+    void bufferThatWasReleasedIsNotReleasedAgain() {
+        append("x".repeat(5000) + "\n");
+        framer.takeLine();
+        framer.release();
+        framer.shrink();
+        framer.release();
+        assertEquals(0, budget.reservedBytes());
+    }
 }
--- a/src/test/java/sprucelanding/runtime/server/ServerHarness.java
+++ b/src/test/java/sprucelanding/runtime/server/ServerHarness.java
@@ -280,8 +280,19 @@
         return logOutput.toString(StandardCharsets.UTF_8).contains(text);
     }
 
+    /** Ends the governor and checks that it holds nothing of the connections any more. */
     @Override
     public void close() throws IOException {
+        try {
+            assertAllResourcesReleased();
+        } catch (InterruptedException e) {
+            throw new AssertionError("interrupted while connections end", e);
+        } finally {
+            closeAll();
+        }
+    }
+
+    private void closeAll() throws IOException {
         loop.close();
         for (ServerSocket server : servers) {
             server.close();
