Let the simulated device break its session before a waiting confirmation

What was seen: NetconfFrontTest.configRolledBackWithoutSessionIsWrittenAgain failed beside load ("not within 30 s").

Cause: the device that is to break its session after a confirmed commit closed it by a timer. A confirmation that waited in its loop was executed before the timer, so nothing was rolled back.

Change: from the commit on, the session executes nothing that arrives; the timer only closes the connection, after the reply.

--- a/src/main/java/sprucelanding/simulation/loopback/DeviceConnection.java
+++ b/src/main/java/sprucelanding/simulation/loopback/DeviceConnection.java
@@ -63,6 +63,10 @@
     private boolean closed;
     private boolean subscribed;
     private boolean readsPaused;
+
+    /** Whether the session is broken, so that no further input is executed. */
+    private boolean isBroken;
+
     private double responseDelayMillis;
 
     /**
@@ -154,7 +158,13 @@
     }
 
     @Override
-    public void fail(String reason) {
+    public void breakAfterReply(String reason) {
+        isBroken = true;
+        loop.schedule(0, () -> fail(reason)); // after the reply
+    }
+
+    /** Closes the connection as lost, for this reason. */
+    private void fail(String reason) {
         if (!closed) {
             closed = true;
             closeSession();
@@ -314,7 +324,7 @@
             framing.useChunkedFraming();
             return;
         }
-        if (closed) {
+        if (closed || isBroken) {
             return;
         }
         XmlElement operation = root.children.get(0);
--- a/src/main/java/sprucelanding/simulation/loopback/DeviceOperations.java
+++ b/src/main/java/sprucelanding/simulation/loopback/DeviceOperations.java
@@ -20,8 +20,11 @@
         /** Starts the load notifications that the governor has subscribed to. */
         void subscribe();
 
-        /** Closes the connection as lost, for this reason. */
-        void fail(String reason);
+        /**
+         * Breaks the session: nothing that arrives from now on is executed, and the connection is
+         * closed as lost after the reply has been sent.
+         */
+        void breakAfterReply(String reason);
     }
 
     private final SimulatedDevice device;
@@ -190,8 +193,7 @@
         if (breakMillis.isPresent()) {
             timeoutMillis = breakMillis.getAsDouble();
             datastores.clearRolledBack();
-            loop.schedule(
-                    0, () -> session.fail("fault: session broken between commit and confirmation"));
+            session.breakAfterReply("fault: session broken between commit and confirmation");
         }
         datastores.commitConfirmed(
                 operation.text("persist"), loop, timeoutMillis, session::applyRunning);
