--- a/src/main/java/sprucelanding/control/decision/BindScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/BindScheduler.java
@@ -164,17 +164,27 @@
         return false;
     }
 
-    /** Returns the next non-empty table to bind the proxy to; null if there is none. */
+    /** Returns the next table to bind the proxy to; null if there is none yet. */
     private RoutingTable nextTable(Proxy proxy) {
         for (RoutingTable fullTable : tables.full()) {
             RoutingTable table = proxy.assignedTable(fullTable);
-            if (proxy.needsBind(fullTable) && !table.isEmpty()) {
+            if (proxy.needsBind(fullTable) && isReadyToSend(table)) {
                 return table;
             }
         }
         return null;
     }
 
+    /**
+     * Returns whether proxies may be bound to the table. An empty table is sent only if no listed
+     * endpoint can serve its request classes, so that a proxy does not go on with endpoints that
+     * have left. Otherwise its entries are about to be sent.
+     */
+    private boolean isReadyToSend(RoutingTable table) {
+        return !table.isEmpty()
+                || endpoints.hasCompleteList() && table.fullTable().availableEntries() == 0;
+    }
+
     private boolean bind(Proxy proxy, RoutingTable table, ControllerOutput output) {
         int cost = bindCost(proxy, table);
         if (!channel.book(List.of(proxy), cost, ChannelPriority.URGENT, Purpose.BIND)) {
@@ -337,7 +347,7 @@
                         fullTable ->
                                 proxy.needsBind(fullTable)
                                         && (proxy.starterTables().containsKey(fullTable)
-                                                || !proxy.assignedTable(fullTable).isEmpty()));
+                                                || isReadyToSend(proxy.assignedTable(fullTable))));
     }
 
     /**
--- a/src/main/java/sprucelanding/control/decision/EjectionQueue.java
+++ b/src/main/java/sprucelanding/control/decision/EjectionQueue.java
@@ -123,7 +123,13 @@
     private List<Proxy> unboundProxies() {
         return pending.isEmpty() && !hasNewProxies
                 ? List.of()
-                : proxies.all().stream().filter(proxy -> !proxy.isBound()).toList();
+                : proxies.all().stream().filter(this::isUnbound).toList();
+    }
+
+    /** Returns whether the proxy still uses a table of another governor or its initial table. */
+    private boolean isUnbound(Proxy proxy) {
+        return tables.full().stream()
+                .anyMatch(fullTable -> proxy.uses(fullTable) && !proxy.hasBind(fullTable));
     }
 
     /** Queues earlier ejections again, since they did not reach proxies that joined afterwards. */
@@ -214,7 +220,7 @@
         if (ejected) {
             drains.ejectedEverywhere(endpoint.id, channel.nextMessageNumber());
         } else {
-            restorations.restoredEverywhere(endpoint);
+            restorations.restoredByOrder(endpoint);
         }
         output.setEjected(endpoint, ejected);
     }
--- a/src/main/java/sprucelanding/control/decision/EndpointRegistry.java
+++ b/src/main/java/sprucelanding/control/decision/EndpointRegistry.java
@@ -35,6 +35,7 @@
 
     private boolean isUpdateComplete;
     private boolean isFirstList;
+    private boolean hasCompleteList;
 
     private boolean softRemoval;
     private boolean changed;
@@ -131,6 +132,7 @@
     /** Ends the current list update. After a complete list, all other endpoints are gone. */
     void listCompleted() {
         if (isUpdateComplete) {
+            hasCompleteList = true;
             endpoints.values().stream()
                     .filter(endpoint -> !listedInUpdate.contains(endpoint))
                     .forEach(endpoint -> stateReported(endpoint, EndpointState.GONE));
@@ -211,6 +213,11 @@
         return isFirstList;
     }
 
+    /** Returns whether there has been a complete list since the start. */
+    boolean hasCompleteList() {
+        return hasCompleteList;
+    }
+
     /** Updates the result of {@link #available}. */
     void refreshAvailable() {
         available = endpoints.values().stream().filter(Endpoint::isAvailable).toList();
--- a/src/main/java/sprucelanding/control/decision/Proxy.java
+++ b/src/main/java/sprucelanding/control/decision/Proxy.java
@@ -111,10 +111,16 @@
         return uses(fullTable) && boundTables.get(fullTable) != assignedTable(fullTable);
     }
 
+    /** Returns whether the proxy is bound to any table. */
     boolean isBound() {
         return !boundTables.isEmpty();
     }
 
+    /** Returns whether the proxy is bound to the full table or to a part of it. */
+    boolean hasBind(RoutingTable fullTable) {
+        return boundTables.containsKey(fullTable);
+    }
+
     Collection<RoutingTable> boundTables() {
         return boundTables.values();
     }
--- a/src/main/java/sprucelanding/control/decision/RestorationScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/RestorationScheduler.java
@@ -108,10 +108,15 @@
         }
     }
 
-    /** Notes that all joined proxies have been told that the endpoint is not ejected. */
-    void restoredEverywhere(Endpoint endpoint) {
-        restoredThrough.put(endpoint, lastJoin);
-        returned.remove(endpoint);
+    /**
+     * Notes that {@link ControllerOutput#setEjected} has restored an endpoint. That order reaches
+     * the proxies that joined with tables, and those to which it ordered the ejection.
+     */
+    void restoredByOrder(Endpoint endpoint) {
+        if (holders.values().stream().noneMatch(Proxy::isUnconfigured)) {
+            restoredThrough.put(endpoint, lastJoin);
+            returned.remove(endpoint);
+        }
     }
 
     /** Forgets endpoints. Proxies at which one of them is ejected hold an unknown ejection now. */
--- a/src/test/java/sprucelanding/control/decision/WeightDecisionsTest.java
+++ b/src/test/java/sprucelanding/control/decision/WeightDecisionsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.BitSet;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Weights follow the speed of the endpoints as far as load reports show it. */
@@ -134,8 +135,8 @@
         host.decideAll();
         assertEquals(1, host.weightsByTable.get(5).size());
         assertTrue(host.weightsByTable.get(69).containsKey(2L));
-        assertFalse(host.weightsByTable.containsKey(68));
-        assertEquals(2, host.orders.stream().filter("bind"::equals).count());
+        assertEquals(Set.of(5, 69), host.weightsByTable.keySet());
+        assertEquals(70, host.orders.stream().filter("bind"::equals).count());
     }
 
     @Test
--- a/src/test/java/sprucelanding/runtime/server/ModelProxy.java
+++ b/src/test/java/sprucelanding/runtime/server/ModelProxy.java
@@ -30,6 +30,11 @@
         requestClasses.forEach(name -> tablesByClass.put(name, new LinkedHashMap<>()));
     }
 
+    /** Sets an entry of the table that the proxy has before any governor orders one. */
+    void setInitialEntry(String requestClass, String uid) {
+        tablesByClass.get(requestClass).put(uid, 1.0);
+    }
+
     /** Applies one line of an update. */
     void apply(String line) {
         JsonObject update = Json.parse(line).asObject();
--- a/src/test/java/sprucelanding/runtime/server/VirtualFleet.java
+++ b/src/test/java/sprucelanding/runtime/server/VirtualFleet.java
@@ -20,6 +20,7 @@
     /** The request class that stays in the proxy's zone. */
     private static final String OWN_ZONE_CLASS = "near";
 
+    private static final int INITIAL_ENDPOINTS = 6;
     private static final double STEP_MS = 250;
     private static final double REPORT_INTERVAL_MS = 1000;
     private static final double GRACE_MS = 4000;
@@ -46,13 +47,32 @@
             listings.put(number, new Listing("ready", 0, 0));
         }
         for (int id = 0; id < proxyCount; id++) {
-            proxies.put(id, new ModelProxy(id, id % 2 == 0 ? "north" : "south", REQUEST_CLASSES));
+            proxies.put(id, newProxy(id));
         }
         startGovernor();
     }
 
-    /** Starts a governor with the list as the previous governor last had it. */
+    /** Creates a proxy whose initial tables have the first endpoints of its zone. */
+    private static ModelProxy newProxy(int id) {
+        String zone = id % 2 == 0 ? "north" : "south";
+        ModelProxy proxy = new ModelProxy(id, zone, REQUEST_CLASSES);
+        for (int number : endpointsOf(zone, INITIAL_ENDPOINTS)) {
+            REQUEST_CLASSES.forEach(name -> proxy.setInitialEntry(name, "e-" + number));
+        }
+        return proxy;
+    }
+
+    /** Replaces a proxy by a new process, which has only its initial tables. */
+    void restartProxy(int id) {
+        leave(id);
+        proxies.put(id, newProxy(id));
+    }
+
+    /** Starts a governor with the current list, if none is running. */
     void startGovernor() {
+        if (governor != null) {
+            return;
+        }
         governor =
                 new VirtualGovernor(
                         uid -> isUp(uid) ? HealthCheckResult.OK : HealthCheckResult.UNREACHABLE,
