--- a/src/main/java/sprucelanding/control/decision/AdmissionController.java
+++ b/src/main/java/sprucelanding/control/decision/AdmissionController.java
@@ -48,6 +48,14 @@
     /** Smallest share of the load that is expected to remain after a load change. */
     private static final double MIN_REMAINING_LOAD_SHARE = 0.05;
 
+    /**
+     * Range of the admitted shares of the past. Many load changes within one update multiply, and
+     * the admitted share is divided by their product.
+     */
+    private static final double MIN_RECENT_SHARE = 1e-6;
+
+    private static final double MAX_RECENT_SHARE = 1e6;
+
     /** Lowest admission rate of a proxy, requests per second. */
     private static final double MIN_REQUESTS_PER_S = 0.1;
 
@@ -94,7 +102,10 @@
         if (demand <= 0) {
             return Optional.empty();
         }
-        double lateness = Math.max(0, responseTime * demand / objectiveSum - NORMAL_RESPONSE_SHARE);
+        double lateness =
+                objectiveSum > 0
+                        ? Math.max(0, responseTime * demand / objectiveSum - NORMAL_RESPONSE_SHARE)
+                        : 0;
         boolean wasOverloaded = isOverloaded;
         double surcharge = Math.min(MAX_LOAD_SURCHARGE, lateness + failureShare);
         adjustAdmittedShare(load > BUSY_LOAD ? load * (1 + surcharge) : load);
@@ -192,7 +203,9 @@
         }
         for (int i = recentAdmittedShares.size(); i > 0; i--) {
             double remaining = Math.max(MIN_REMAINING_LOAD_SHARE, 1 - share);
-            recentAdmittedShares.addLast(recentAdmittedShares.pollFirst() * remaining);
+            double changed = recentAdmittedShares.pollFirst() * remaining;
+            recentAdmittedShares.addLast(
+                    Math.min(MAX_RECENT_SHARE, Math.max(MIN_RECENT_SHARE, changed)));
         }
     }
 }
--- a/src/main/java/sprucelanding/control/decision/BindScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/BindScheduler.java
@@ -191,7 +191,7 @@
             return false;
         }
         if (proxy.isUnconfigured() && !proxy.isBound()) {
-            admission.expectLoadChange(proxy.baselineDemand() / proxies.baselineDemand());
+            admission.expectLoadChange(proxies.shareOfBaselineDemand(proxy));
         }
         proxy.bindTo(table);
         bindsSent++;
--- a/src/main/java/sprucelanding/control/decision/ProxyRegistry.java
+++ b/src/main/java/sprucelanding/control/decision/ProxyRegistry.java
@@ -34,6 +34,12 @@
         return proxies.get(proxy.id) == proxy;
     }
 
+    /** Returns the proxy's share of the expected requests, 0 to 1; 0 while none are expected. */
+    double shareOfBaselineDemand(Proxy proxy) {
+        double total = baselineDemand();
+        return total > 0 ? proxy.baselineDemand() / total : 0;
+    }
+
     /** Returns the requests per second that were expected when the proxies joined, in total. */
     double baselineDemand() {
         return SequentialSum.of(all(), Proxy::baselineDemand);
--- a/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.BitSet;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Figures that are out of range never enter the state of the decisions. */
@@ -38,4 +39,20 @@
         assertTrue(host.admittedByClass.get(0) < 1, "load above 75% is shed");
         assertEquals(1, host.admittedByClass.get(1), "the class with more revenue is admitted");
     }
+
+    /** Guards against a governor that hangs when an idle proxy returns under load. */
+    @Test
+    void returnOfAnIdleProxyUnderLoadLeavesTheAdmittedSharesFinite() {
+        FakeControllerHost host = hostWithOwnZoneClass();
+        host.controller.proxyLeft(9);
+        for (int proxy = 0; proxy < ENDPOINTS; proxy++) {
+            host.controller.proxyJoined(proxy, 0, 0.0, true);
+        }
+        host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.82, 10));
+        host.controller.proxyLeft(1);
+        host.runSeconds(2, () -> host.reportHealthy(ENDPOINTS, 0.82, 10));
+        host.controller.proxyJoined(1, 0, 0.0, true);
+        host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.82, 10));
+        assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
+    }
 }
