Keep weights after more than an hour without requests

What callers see: after about 74 minutes without requests, while endpoints answer health checks, all target weights become NaN and stay so, also when requests return: nothing is sent any more but removals. Found by reading every division of the decisions for a denormal divisor; no spoilt message is needed.

Cause: evidence of completed requests only decays, by 1/e in 6 s. When it is denormal, its quotients are 0 and infinite, and their product (the speed of an endpoint) is NaN. A NaN weight is never active, so it is never updated.

Seen to fail before the fix: SpoiltFiguresTest.weightsSurviveTwoHoursWithout- Requests ("stats.speed = NaN").

--- a/src/main/java/sprucelanding/control/decision/EndpointStats.java
+++ b/src/main/java/sprucelanding/control/decision/EndpointStats.java
@@ -6,6 +6,12 @@
  * the host's clock.
  */
 final class EndpointStats {
+    /**
+     * Evidence below which there is none. Evidence that only decays would become denormal after
+     * about an hour, and quotients of denormal numbers are not finite.
+     */
+    private static final double NEGLIGIBLE_EVIDENCE = 1e-100;
+
     /** Last reported share of busy cores, 0 to 1. */
     private double load;
 
@@ -127,8 +133,8 @@
      * @param intervalMs length of the interval
      */
     void accumulateBusyTime(double keptShare, boolean hasFreshReport, double intervalMs) {
-        busyTime = busyTime * keptShare + (hasFreshReport ? load * intervalMs : 0);
-        completed *= keptShare;
+        busyTime = decayed(busyTime, keptShare) + (hasFreshReport ? load * intervalMs : 0);
+        completed = decayed(completed, keptShare);
     }
 
     /** Moves the smoothed load to the last load, except for a share of the difference. */
@@ -138,9 +144,14 @@
 
     /** Decays the evidence of health to the given share. */
     void decayHealthEvidence(double keptShare) {
-        attempts *= keptShare;
-        failedAttempts *= keptShare;
-        responseTimeSum *= keptShare;
+        attempts = decayed(attempts, keptShare);
+        failedAttempts = decayed(failedAttempts, keptShare);
+        responseTimeSum = decayed(responseTimeSum, keptShare);
+    }
+
+    private static double decayed(double evidence, double keptShare) {
+        double kept = evidence * keptShare;
+        return kept < NEGLIGIBLE_EVIDENCE ? 0 : kept;
     }
 
     /** Discards all evidence of load, speed and health when the endpoint enters a slow start. */
--- a/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -55,4 +55,24 @@
         host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.82, 10));
         assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
     }
+
+    /** Guards against weights that are lost for good after a long time without requests. */
+    @Test
+    void weightsSurviveTwoHoursWithoutRequests() {
+        FakeControllerHost host = FakeControllerHost.withEndpoints(ENDPOINTS);
+        host.runSeconds(10, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        for (int minute = 0; minute < 120; minute++) {
+            host.runSeconds(60, () -> reportIdle(host));
+            assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
+        }
+        host.runSeconds(10, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        assertEquals(1, host.weight(1) / host.weight(2), 0.2);
+    }
+
+    /** Reports health checks of endpoints without requests, whose load is low but not zero. */
+    private static void reportIdle(FakeControllerHost host) {
+        for (long id = 1; id <= ENDPOINTS; id++) {
+            host.controller.healthCheckCompleted(id, HealthCheckResult.OK, 0.01 * id);
+        }
+    }
 }
