Limit the weights and start times that discovery lists

Cause: the reader took any number from 0, and the decisions any weight above 0.

Change: the reader takes an entry with a capacity above 1e6 or a start time above 1e15 ms as malformed, as it does for negative ones; the decisions take a listed weight outside 1e-6 to 1e6 as 1 and a start time that is not finite as long ago.

--- a/src/main/java/sprucelanding/control/decision/Endpoint.java
+++ b/src/main/java/sprucelanding/control/decision/Endpoint.java
@@ -110,13 +110,13 @@
     void setListing(int zone, int machineKind, double weight, double startedAt) {
         this.zone = zone;
         this.machineKind = machineKind;
-        this.listedWeight = weight > 0 ? weight : 1;
-        this.startedAt = startedAt;
+        this.listedWeight = InputLimits.listedWeightOrDefault(weight);
+        this.startedAt = InputLimits.startTimeOrLongAgo(startedAt);
     }
 
     /** Set by {@link EndpointRegistry}. */
     void setStartedAt(double startedAt) {
-        this.startedAt = startedAt;
+        this.startedAt = InputLimits.startTimeOrLongAgo(startedAt);
     }
 
     /** Set by {@link EndpointRegistry}. */
--- a/src/main/java/sprucelanding/control/decision/InputLimits.java
+++ b/src/main/java/sprucelanding/control/decision/InputLimits.java
@@ -21,6 +21,17 @@
      */
     private static final double MIN_REQUESTS_PER_S = 1e-200;
 
+    /** Range of listed weights, which are relative to one another. */
+    private static final double MIN_LISTED_WEIGHT = 1e-6;
+
+    private static final double MAX_LISTED_WEIGHT = 1e6;
+
+    /** The listed weight of an endpoint whose list entry has none in range. */
+    private static final double DEFAULT_LISTED_WEIGHT = 1;
+
+    /** The start time of an endpoint that started long ago. */
+    private static final double STARTED_LONG_AGO = 0;
+
     private InputLimits() {}
 
     /** Returns whether a demand report is in range, so that its rate is finite. */
@@ -42,4 +53,16 @@
                 ? Math.min(requestsPerSecond, MAX_REQUESTS_PER_S)
                 : 0;
     }
+
+    /** Returns a listed weight; the default weight if it is out of range. */
+    static double listedWeightOrDefault(double weight) {
+        return weight >= MIN_LISTED_WEIGHT && weight <= MAX_LISTED_WEIGHT
+                ? weight
+                : DEFAULT_LISTED_WEIGHT;
+    }
+
+    /** Returns a start time, ms; 0, which means long ago, if it is negative or not finite. */
+    static double startTimeOrLongAgo(double startedAt) {
+        return startedAt > 0 && startedAt < Double.POSITIVE_INFINITY ? startedAt : STARTED_LONG_AGO;
+    }
 }
--- a/src/main/java/sprucelanding/runtime/server/EndpointEntry.java
+++ b/src/main/java/sprucelanding/runtime/server/EndpointEntry.java
@@ -45,6 +45,13 @@
     private static final String WEIGHT = "capacity_hint";
     private static final String BOOT_MILLIS = "boot_ms";
     private static final double DEFAULT_WEIGHT = 1;
+
+    /** Largest capacity, as a multiple of the usual capacity. */
+    private static final double MAX_WEIGHT = 1e6;
+
+    /** Latest start time, far in the future. */
+    private static final double MAX_BOOT_MILLIS = 1e15;
+
     private static final double BOOT_LONG_PAST = 0;
 
     /**
@@ -92,8 +99,8 @@
         return isText(fields.get(ADDRESS))
                 && isText(zone)
                 && zones.contains(zone.asString())
-                && isAbsentOrNotNegative(fields.get(BOOT_MILLIS))
-                && isAbsentOrNotNegative(fields.get(WEIGHT));
+                && isAbsentOrInRange(fields.get(BOOT_MILLIS), MAX_BOOT_MILLIS)
+                && isAbsentOrInRange(fields.get(WEIGHT), MAX_WEIGHT);
     }
 
     private static Attributes parseAttributes(JsonObject fields) {
@@ -109,8 +116,9 @@
         return value != null && value.isString();
     }
 
-    private static boolean isAbsentOrNotNegative(JsonValue value) {
-        return value == null || value.isNumber() && value.asDouble() >= 0;
+    private static boolean isAbsentOrInRange(JsonValue value, double max) {
+        return value == null
+                || value.isNumber() && value.asDouble() >= 0 && value.asDouble() <= max;
     }
 
     private static double numberOr(JsonValue value, double defaultNumber) {
--- a/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -6,6 +6,8 @@
 import java.util.BitSet;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Figures that are out of range never enter the state of the decisions. */
 class SpoiltFiguresTest {
@@ -75,4 +77,18 @@
             host.controller.healthCheckCompleted(id, HealthCheckResult.OK, 0.01 * id);
         }
     }
+
+    /** Guards against weights that are not finite because a listed weight is out of range. */
+    @ParameterizedTest
+    @ValueSource(doubles = {Double.POSITIVE_INFINITY, Double.NaN, Double.MIN_VALUE, 1e300, -1, 0})
+    void listedWeightOutOfRangeLeavesTheFiguresFinite(double weight) {
+        FakeControllerHost host = FakeControllerHost.withEndpoints(ENDPOINTS);
+        host.runSeconds(4, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        host.controller.endpointListStarted(false, false);
+        host.controller.endpointListed(2, 2, 1, weight, 0, EndpointState.AVAILABLE);
+        host.controller.endpointListCompleted();
+        host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
+        assertTrue(host.weight(1) > 0 && host.weight(2) > 0);
+    }
 }
