Keep weights finite if an endpoint's start is ahead of the governor's clock

What callers would see: at a site without warm-up, the weights of a table become NaN for good after an endpoint with a start time ahead of the governor's clock is listed. Found by reading every division of the decisions.

Cause: until that time the endpoint counts as warming up with a negative age; its share of capacity is divided by a warm-up time of 0, so it is minus infinity, and the mean weight of the table is divided by that.

Change: the share of capacity is never below 0.

--- a/src/main/java/sprucelanding/control/decision/SlowStart.java
+++ b/src/main/java/sprucelanding/control/decision/SlowStart.java
@@ -33,12 +33,15 @@
         return endpoint.startedAt() > 0 && time.now() - endpoint.startedAt() < part * warmupTimeMs;
     }
 
-    /** Returns the share of its capacity that an endpoint has now, 0 to 1. */
+    /**
+     * Returns the share of its capacity that an endpoint has now, 0 to 1. An endpoint whose start
+     * is ahead of the host's clock may have none.
+     */
     double capacityShare(Endpoint endpoint) {
         if (!isWarmingUp(endpoint)) {
             return 1;
         }
         double age = time.now() - endpoint.startedAt();
-        return initialShare + (1 - initialShare) * age / warmupTimeMs;
+        return Math.max(0, initialShare + (1 - initialShare) * age / warmupTimeMs);
     }
 }
--- a/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -91,4 +91,17 @@
         assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
         assertTrue(host.weight(1) > 0 && host.weight(2) > 0);
     }
+
+    /** Guards against a weight of NaN at sites without warm-up, if a clock is slightly behind. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 200, 16_000})
+    void startAheadOfTheClockLeavesTheFiguresFinite(double warmupTimeMs) {
+        FakeControllerHost host = FakeControllerHost.withEndpoints(ENDPOINTS);
+        host.controller.configureEndpointList(true, false, 0.2, warmupTimeMs);
+        host.runSeconds(4, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        host.changeEndpoint(2, host.now + 2500, EndpointState.AVAILABLE);
+        host.runSeconds(6, () -> host.reportHealthy(ENDPOINTS, 0.5, 10));
+        assertEquals(List.of(), StateFigures.invalidFiguresOf(host.controller));
+        assertTrue(host.weight(1) > 0 && host.weight(2) > 0);
+    }
 }
