Bound the orders for one event, so that a decision always returns

Change: OrderLimit counts the orders for one event and allows eight for each object that orders can concern (entries and levels of each table, binds), plus 1,000. At the limit the batch ends, order_limit_reached is logged with the count, and the host reads and answers on; the next event starts a new batch.

--- a/src/main/java/sprucelanding/control/decision/DecisionEvent.java
+++ b/src/main/java/sprucelanding/control/decision/DecisionEvent.java
@@ -164,6 +164,24 @@
         }
     }
 
+    /**
+     * The orders for one event reached their limit, so that the batch was ended.
+     *
+     * @param orders number of orders for the event
+     * @param endedBatches number of batches so far that were ended in this way
+     */
+    record OrderLimitReached(long orders, long endedBatches) implements DecisionEvent {
+        @Override
+        public String logLine() {
+            return "event=order_limit_reached orders=" + orders + " ended_batches=" + endedBatches;
+        }
+
+        @Override
+        public String text() {
+            return logLine();
+        }
+    }
+
     /** Removals have become overdue since the last event of this type. */
     record DrainViolations(int count, Map<DrainTracker.Cause, Long> byCause)
             implements DecisionEvent {
--- a/src/main/java/sprucelanding/control/decision/OutputScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/OutputScheduler.java
@@ -21,9 +21,11 @@
     private final AdmissionScheduler admissions;
     private final StarterTableScheduler starterTableUpdates;
     private final UnusedTableCleaner unusedTables;
+    private final OrderLimit orderLimit;
 
     OutputScheduler(
             EventTime time,
+            DecisionLog log,
             SplittableRandom random,
             RequestClass[] requestClasses,
             AdmissionMode admissionMode,
@@ -41,6 +43,7 @@
         this.admission = admission;
         this.healthChecks = healthChecks;
         this.endpoints = endpoints;
+        orderLimit = new OrderLimit(log, endpoints, proxies, tables, requestClasses.length);
         restorations = new RestorationScheduler(time, tables, channel);
         starterTables = new StarterTables(tables, random);
         binds =
@@ -87,6 +90,11 @@
         weightUpdates.configure(drainGrace);
     }
 
+    /** Begins the orders for the next event. */
+    void eventStarted() {
+        orderLimit.eventStarted();
+    }
+
     /** Discards the ranking of the entries because weights have changed. */
     void weightsChanged() {
         weightUpdates.invalidate();
@@ -168,6 +176,16 @@
      */
     boolean sendNext(
             ControllerOutput output, Collection<Endpoint> known, boolean isOrdinaryAllowed) {
+        boolean isGiven =
+                orderLimit.allowsOrder() && sendMostUrgent(output, known, isOrdinaryAllowed);
+        if (isGiven) {
+            orderLimit.orderGiven();
+        }
+        return isGiven;
+    }
+
+    private boolean sendMostUrgent(
+            ControllerOutput output, Collection<Endpoint> known, boolean isOrdinaryAllowed) {
         if (healthChecks.sendDueCheck(output) || ejections.sendNext(output, known)) {
             return true;
         }
--- a/src/main/java/sprucelanding/control/decision/RoutingController.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingController.java
@@ -99,6 +99,7 @@
     private OutputScheduler createScheduler(SplittableRandom random, AdmissionMode admissionMode) {
         return new OutputScheduler(
                 time,
+                log,
                 random,
                 requestClasses,
                 admissionMode,
@@ -189,6 +190,7 @@
     /** Sets the time of the next events, ms. */
     public void setTime(double now) {
         time.advanceTo(now);
+        scheduler.eventStarted();
     }
 
     /** Processes the expiry of the timer with the given tag. */
--- a/src/test/java/sprucelanding/control/decision/FakeControllerHost.java
+++ b/src/test/java/sprucelanding/control/decision/FakeControllerHost.java
@@ -38,6 +38,9 @@
      */
     boolean acknowledgesMessages;
 
+    /** What the host does in addition when a proxy is bound. */
+    Runnable onBind = () -> {};
+
     int lastAcknowledgementRequest;
     private Set<Integer> messagedProxies = new TreeSet<>();
     private Set<Integer> previouslyMessagedProxies = Set.of();
@@ -221,6 +224,7 @@
         tableByProxy.put(proxy.id, table);
         messagedProxies.add(proxy.id);
         boundClassesByProxy.merge(proxy.id, (int) requestClasses.toLongArray()[0], (a, b) -> a | b);
+        onBind.run();
     }
 
     @Override
