Forget replaced endpoints although their sent weights do not sum to exactly zero

What callers see: memory that grows while endpoints are replaced under new names.

Cause: an endpoint is forgotten 60 s after it left, unless it is in a table. That was read off the sum of its sent weights, which is added up change by change; with weights that are not whole numbers, rounding errors leave a sum above 0.

Change: the tables are asked whether they have an entry with a weight.

Seen to fail before the fix: EndpointListDecisionsTest.replacedEndpointsAre- ForgottenWhileNamesChangeForHours ("20 known endpoints of 9 listed").

--- a/src/main/java/sprucelanding/control/decision/EndpointRegistry.java
+++ b/src/main/java/sprucelanding/control/decision/EndpointRegistry.java
@@ -240,13 +240,20 @@
         expired.removeIf(
                 endpoint ->
                         endpoint.state() != EndpointState.GONE
-                                || endpoint.totalSentWeight() > 0
-                                || time.now() - endpoint.removedAt()
-                                        < REMOVED_ENDPOINT_RETENTION_MS);
+                                || time.now() - endpoint.removedAt() < REMOVED_ENDPOINT_RETENTION_MS
+                                || isInAnyTable(endpoint));
         listedInUpdate.removeAll(expired);
         expired.forEach(endpoint -> drains.endpointForgotten(endpoint.id));
         tables.endpointsForgotten(expired);
         endpoints.values().removeAll(expired);
         return expired;
     }
+
+    /**
+     * Returns whether a table as last sent gives traffic to the endpoint. The sum of its weights
+     * does not tell, because of rounding errors.
+     */
+    private boolean isInAnyTable(Endpoint endpoint) {
+        return tables.all().stream().anyMatch(table -> table.sendsTrafficTo(endpoint));
+    }
 }
--- a/src/test/java/sprucelanding/control/decision/EndpointListDecisionsTest.java
+++ b/src/test/java/sprucelanding/control/decision/EndpointListDecisionsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.BitSet;
 import org.junit.jupiter.api.Test;
 
 /** The tables are updated from the endpoint list. */
@@ -116,4 +117,36 @@
                 host.weightsByTable.get(0).values().stream().filter(weight -> weight > 0).count(),
                 1);
     }
+
+    /** Guards against memory that grows while endpoints are replaced under new names. */
+    @Test
+    void replacedEndpointsAreForgottenWhileNamesChangeForHours() {
+        FakeControllerHost host =
+                new FakeControllerHost(
+                        AdmissionMode.SHARE,
+                        0,
+                        FakeControllerHost.requestClass(0, true, 1),
+                        new RequestClass(1, false, 2, 800, new BitSet(), new BitSet(), true));
+        host.controller.configureEndpointList(true, false, 0.31, 9000);
+        host.listEndpoints(true, 9);
+        host.controller.proxyJoined(9, 0, 100, false);
+        host.controller.proxyJoined(10, 1, 100, true);
+        host.decideAll();
+        for (int id = 10; id < 400; id++) {
+            host.changeEndpoint(id, host.now, EndpointState.AVAILABLE);
+            host.changeEndpoint(id - 9, host.now, EndpointState.GONE);
+            int first = id - 8;
+            host.runSeconds(
+                    20,
+                    () -> {
+                        for (long each = first; each < first + 9; each++) {
+                            host.controller.endpointStatsReported(
+                                    each, 10, 0, 200, 0.3 + each % 7 * 0.061);
+                        }
+                    });
+            assertTrue(
+                    host.controller.knownEndpointCount() < 20,
+                    host.controller.knownEndpointCount() + " known endpoints of 9 listed");
+        }
+    }
 }
