Ask for the whole list although a good line follows one that was not applied

What callers see: changes of the endpoint list that are lost for good, if a line with a malformed entry and a good line arrive in one packet.

Cause: DiscoveryWatch closed the connection at the malformed line but went on with the lines behind it; a good one cleared the mark that the whole list is needed and moved the revision on.

Change: no line is handled once the connection has been closed.

Measured: it passes, with the tests of the server.

--- a/src/main/java/sprucelanding/runtime/server/DiscoveryWatch.java
+++ b/src/main/java/sprucelanding/runtime/server/DiscoveryWatch.java
@@ -178,9 +178,10 @@
             }
         }
 
+        /** Handles the lines of a part. Lines behind a list that was not applied are ignored. */
         private void onBodyPart(byte[] part) {
             int start = 0;
-            while (start < part.length && currentConnection == this) {
+            while (start < part.length && currentConnection == this && connection.isOpen()) {
                 int end = start;
                 while (end < part.length && part[end] != '\n') {
                     end++;
--- a/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
+++ b/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
@@ -368,4 +368,22 @@
                 output.toString(StandardCharsets.UTF_8).lines().count(),
                 output.toString(StandardCharsets.UTF_8));
     }
+
+    /** Guards against a list that is lost because a good list follows in the same packet. */
+    @Test
+    void wholeListIsRequestedIfAGoodListFollowsAMalformedOne()
+            throws IOException, InterruptedException {
+        try (ServerHarness harness = new ServerHarness(folder)) {
+            ServerHarness.Peer watch = harness.nextWatch("index=41");
+            String malformed =
+                    ServerHarness.list(
+                            42,
+                            false,
+                            ServerHarness.entry("s-2", "draining"),
+                            ServerHarness.entry("s-3", "nowhere"));
+            String good = ServerHarness.list(43, false, ServerHarness.entry("s-1", "draining"));
+            watch.send(ServerHarness.chunk(malformed + "\n" + good));
+            harness.nextWatch("/v1/endpoints?stream=1 ");
+        }
+    }
 }
