Restore at once only where a proxy would otherwise have no endpoint it was told

In a release, each new endpoint cost every proxy an entry at once, and each bind four per table.

Change: an endpoint that enters service is restored with the message that adds it only for tables of which the proxy was told no other endpoint, as when a zone returns. After a bind, two endpoints of such a table are restored. All others follow over time as before, with a tenth of the channel.

--- a/src/main/java/sprucelanding/control/decision/RestorationScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/RestorationScheduler.java
@@ -19,8 +19,8 @@
  * once for each endpoint, in this order:
  *
  * <ul>
- *   <li>When an endpoint returns to the list, the proxies that use it are told as soon as their
- *       tables contain it.
+ *   <li>When an endpoint returns to the list, the proxies with a table of which they were told no
+ *       other endpoint are told as soon as the table contains it.
  *   <li>When a proxy has been bound, it is told a few endpoints of each table, so that each request
  *       class has an endpoint.
  *   <li>All other pairs of proxy and endpoint follow over time, with a small share of the channel.
@@ -31,7 +31,7 @@
  */
 final class RestorationScheduler {
     /** Endpoints of each table that a proxy is told at once after it has been bound. */
-    private static final int MIN_RESTORED_ENTRIES = 4;
+    private static final int MIN_RESTORED_ENTRIES = 2;
 
     /** Share of the channel for restorations that are not urgent. */
     private static final double CHANNEL_SHARE = 0.1;
@@ -145,7 +145,7 @@
             } else if (endpoint.totalSentWeight() > 0) {
                 NavigableMap<Long, Proxy> untold = untoldHolders(endpoint);
                 List<Proxy> users =
-                        untold.values().stream().filter(p -> usesEntryOf(p, endpoint)).toList();
+                        untold.values().stream().filter(p -> dependsOn(p, endpoint)).toList();
                 if (!book(users, 1, ChannelPriority.URGENT)) {
                     return false;
                 }
@@ -162,8 +162,25 @@
         return false;
     }
 
-    private static boolean usesEntryOf(Proxy proxy, Endpoint endpoint) {
-        return proxy.boundTables().stream().anyMatch(table -> table.sendsTrafficTo(endpoint));
+    /** Returns whether a table of the proxy has the endpoint, but no endpoint told so far. */
+    private boolean dependsOn(Proxy proxy, Endpoint endpoint) {
+        return proxy.boundTables().stream()
+                .filter(table -> table.sendsTrafficTo(endpoint))
+                .anyMatch(table -> hasNoneTold(proxy, usableEndpoints(table)));
+    }
+
+    private boolean hasNoneTold(Proxy proxy, List<Endpoint> usable) {
+        return usable.stream().noneMatch(endpoint -> isTold(proxy, endpoint));
+    }
+
+    /** Returns the available endpoints that the table sends traffic to, heaviest first. */
+    private static List<Endpoint> usableEndpoints(RoutingTable table) {
+        return table.entries().stream()
+                .filter(entry -> entry.sentWeight() > 0)
+                .sorted(Comparator.comparingDouble(entry -> -entry.sentWeight()))
+                .map(TableEntry::endpoint)
+                .filter(Endpoint::isAvailable)
+                .toList();
     }
 
     private boolean sendToNewlyBound(ControllerOutput output) {
@@ -186,14 +203,8 @@
     private Set<Endpoint> untoldFewOf(Proxy proxy) {
         Set<Endpoint> few = new LinkedHashSet<>();
         for (RoutingTable table : proxy.boundTables()) {
-            List<Endpoint> usable =
-                    table.entries().stream()
-                            .filter(entry -> entry.sentWeight() > 0)
-                            .sorted(Comparator.comparingDouble(entry -> -entry.sentWeight()))
-                            .map(TableEntry::endpoint)
-                            .filter(Endpoint::isAvailable)
-                            .toList();
-            if (usable.stream().noneMatch(endpoint -> isTold(proxy, endpoint))) {
+            List<Endpoint> usable = usableEndpoints(table);
+            if (hasNoneTold(proxy, usable)) {
                 few.addAll(usable.subList(0, Math.min(MIN_RESTORED_ENTRIES, usable.size())));
             }
         }
