Soak: zones that are lost, drained and cut off while governors restart

Why: the soak never lost a zone, had no class that stays in the zone, and did not look at what proxies shut out.

At the end, no proxy may shut out an endpoint that has been ready for 10 s (rule EJECTION). The removal of an endpoint that had returned was counted from its first removal; it is counted anew now.

--- a/src/main/java/sprucelanding/cli/SoakCommand.java
+++ b/src/main/java/sprucelanding/cli/SoakCommand.java
@@ -54,6 +54,11 @@
     @Option(names = "--failover", description = "run the failover of incident 1, not random faults")
     private boolean failover;
 
+    @Option(
+            names = "--zones",
+            description = "lose, drain and cut off zones during restarts, not random faults")
+    private boolean zones;
+
     @Option(names = "--logs", description = "keep configurations and logs in this folder")
     private Path logs;
 
@@ -77,6 +82,9 @@
     }
 
     private SoakPlan plan(long runSeed) {
+        if (zones) {
+            return SoakPlan.zoneFaults(runSeed, seconds * 1000, governors, proxies);
+        }
         return failover
                 ? SoakPlan.failover(runSeed, governors, proxies)
                 : SoakPlan.random(runSeed, seconds * 1000, governors, proxies, interval);
--- a/src/main/java/sprucelanding/simulation/soak/DiscoveryServer.java
+++ b/src/main/java/sprucelanding/simulation/soak/DiscoveryServer.java
@@ -145,6 +145,8 @@
             }
             revision = OptionalLong.of(endpoints.revision());
             writeChunk(endpoints.json(changes, isFullList) + "\n");
+            // The removal of an endpoint that has returned is reported anew.
+            endpoints.ready().forEach(endpoint -> reportedAtById.remove(endpoint.uid()));
             // An endpoint that is missing from a full list counts as removed.
             for (SoakEndpoints.Change change : isFullList ? endpoints.removed() : changes) {
                 if (change.state() != SoakEndpoints.State.READY) {
--- a/src/main/java/sprucelanding/simulation/soak/FleetProxy.java
+++ b/src/main/java/sprucelanding/simulation/soak/FleetProxy.java
@@ -58,13 +58,13 @@
     private final String zone;
     private final EventLoop loop;
     private final Host host;
-    private final String[] requestClasses;
 
     /** Tables by request class; each maps endpoints to weights. */
     private final Map<String, Map<String, Double>> tables = new HashMap<>();
 
     private final Set<String> ejectedEverywhere = new HashSet<>();
     private boolean hasInitialTables = true;
+    private boolean isCutOff;
     private Stream stream;
     private OptionalInt governor = OptionalInt.empty();
     private double joinedAt;
@@ -83,7 +83,6 @@
         this.zone = zone;
         this.loop = loop;
         this.host = host;
-        this.requestClasses = requestClasses;
         for (String name : requestClasses) {
             Map<String, Double> table = new HashMap<>();
             initialEndpoints.forEach(uid -> table.put(uid, 1.0));
@@ -95,6 +94,30 @@
         return number;
     }
 
+    /** Adds a request class with its initial table. */
+    void addOwnZoneClass(String name, List<String> initialEndpoints) {
+        Map<String, Double> table = new HashMap<>();
+        initialEndpoints.forEach(uid -> table.put(uid, 1.0));
+        tables.put(name, table);
+    }
+
+    boolean isCutOff() {
+        return isCutOff;
+    }
+
+    /** Sets whether the proxy reaches no governor. Its stream ends when that begins. */
+    void setCutOff(boolean isCutOff) {
+        this.isCutOff = isCutOff;
+        if (isCutOff) {
+            handOver();
+        }
+    }
+
+    /** Returns whether the proxy holds an ejection of the endpoint. */
+    boolean hasEjected(String uid) {
+        return ejectedEverywhere.contains(uid);
+    }
+
     /** Returns the governor that the proxy is connected to; empty if there is none. */
     OptionalInt governor() {
         return governor;
@@ -280,9 +303,7 @@
         JsonValue routes = part.get("routes");
         if (part.get("endpoints") != null || part.getBoolean("full", false)) {
             if (routes == null) {
-                for (String name : requestClasses) {
-                    updateTable(tables.get(name), part);
-                }
+                tables.values().forEach(table -> updateTable(table, part));
             } else {
                 routes.asArray().forEach(each -> updateTable(tables.get(each.asString()), part));
             }
--- a/src/main/java/sprucelanding/simulation/soak/InvariantChecker.java
+++ b/src/main/java/sprucelanding/simulation/soak/InvariantChecker.java
@@ -33,13 +33,19 @@
          * A governor logged an internal fault, such as a failed decision or an order that the
          * governor's guard refused.
          */
-        INTERNAL
+        INTERNAL,
+        /** A proxy still shuts out an endpoint that has been ready for a long time. */
+        EJECTION
     }
 
     /** Tolerance that is added to the time limits of the rules. */
     private static final double SLACK_MS = 300;
 
     private static final double NO_ENDPOINT_LIMIT_MS = 7800;
+
+    /** Time within which a proxy is told that an endpoint has returned. */
+    private static final double RESTORATION_LIMIT_MS = 10_000;
+
     private static final double MESSAGE_SPAN_MS = 10_000;
 
     /** Time from a governor's first answer until the rules apply to its proxies. */
@@ -62,12 +68,14 @@
      *
      * @param discovery discovery service of the proxy's governor
      * @param removed endpoints that are draining or gone
+     * @param isOwnZoneEmpty whether no endpoint of the proxy's zone is ready
      * @param upSince time of the first answer of the proxy's governor
      */
     void check(
             FleetProxy proxy,
             DiscoveryServer discovery,
             List<SoakEndpoints.Change> removed,
+            boolean isOwnZoneEmpty,
             double upSince,
             double now) {
         double countedFrom = Math.max(proxy.joinedAt(), upSince + STARTUP_TIME_MS);
@@ -83,7 +91,27 @@
                         drainEvidence(proxy, endpoint, now - dueAt + SLACK_MS, now));
             }
         }
-        checkHasEndpoints(proxy, countedFrom, now);
+        if (isOwnZoneEmpty) {
+            withoutEndpointSince.remove(proxy.number());
+        } else {
+            checkHasEndpoints(proxy, countedFrom, now);
+        }
+    }
+
+    /**
+     * Checks that a proxy that joined some time ago shuts out no endpoint that has been ready for
+     * some time.
+     */
+    void checkEjections(FleetProxy proxy, List<SoakEndpoints.Change> ready, double now) {
+        for (SoakEndpoints.Change endpoint : ready) {
+            double since = Math.max(proxy.joinedAt(), endpoint.changedAt());
+            if (now - since > RESTORATION_LIMIT_MS + SLACK_MS && proxy.hasEjected(endpoint.uid())) {
+                recordViolation(
+                        Rule.EJECTION,
+                        proxy.number() + "/" + endpoint.uid(),
+                        "proxy " + proxy.number() + " shuts out " + endpoint.uid());
+            }
+        }
     }
 
     private static String drainEvidence(
--- a/src/main/java/sprucelanding/simulation/soak/ServeConfig.java
+++ b/src/main/java/sprucelanding/simulation/soak/ServeConfig.java
@@ -4,6 +4,11 @@
 final class ServeConfig {
     private static final double WARM_UP_MS = 6000;
 
+    private static final String OWN_ZONE_CLASS =
+            ",{\"name\":\""
+                    + SoakFleet.OWN_ZONE_CLASS
+                    + "\",\"effect\":\"pure\",\"worth\":1,\"promiseUs\":750000}";
+
     private final SoakPlan plan;
 
     ServeConfig(SoakPlan plan) {
@@ -36,7 +41,9 @@
                 + plan.governors()
                 + ",\"membershipMode\":\"pushed\",\"tickUs\":5000,"
                 + "\"classes\":[{\"name\":\"read\",\"effect\":\"pure\",\"worth\":1,\"promiseUs\":750000},"
-                + "{\"name\":\"write\",\"effect\":\"side_effect\",\"worth\":2,\"promiseUs\":800000}],"
+                + "{\"name\":\"write\",\"effect\":\"side_effect\",\"worth\":2,\"promiseUs\":800000}"
+                + (plan.hasOwnZoneClass() ? OWN_ZONE_CLASS : "")
+                + "],"
                 + "\"zones\":[\"a\",\"b\",\"c\"],\"kinds\":[\"m1\"],\"report\":{\"how\":\"answers\",\"names\":[\"cpu_share\"]},"
                 + "\"contract\":{\"coldFrom\":0.3,\"warmAfterUs\":"
                 + micros(WARM_UP_MS)
@@ -52,6 +59,7 @@
                 + plan.backlogLimit()
                 + ",\"updateCap\":"
                 + plan.messageLimit()
+                + (plan.hasOwnZoneClass() ? ",\"homeOnly\":[false,false,true]" : "")
                 + ",\"reloadSpanUs\":10000000,\"reportEveryUs\":1000000,\"transitMaxUs\":800000},"
                 + "\"ceilings\":{\"probes\":true,\"connectTimeoutUs\":250000}}";
     }
--- a/src/main/java/sprucelanding/simulation/soak/SoakEndpoints.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakEndpoints.java
@@ -64,6 +64,11 @@
         return current.values().stream().filter(entry -> entry.state() == State.READY).toList();
     }
 
+    /** Returns the ready endpoints of a zone. */
+    List<Change> readyIn(int zone) {
+        return ready().stream().filter(entry -> entry.zone() == zone).toList();
+    }
+
     /** Returns the endpoints that are draining or gone. */
     List<Change> removed() {
         return current.values().stream().filter(entry -> entry.state() != State.READY).toList();
@@ -80,6 +85,13 @@
         record(new Change(revision, uid, previous.zone(), state, previous.bootMillis(), now));
     }
 
+    /** Makes an endpoint ready as a new process, which creates a revision. */
+    void restart(String uid, long bootMillis, double now) {
+        int zone = current.get(uid).zone();
+        revision++;
+        record(new Change(revision, uid, zone, State.READY, bootMillis, now));
+    }
+
     /** Adds an endpoint that has just started, which creates a revision. */
     void add(int zone, long bootMillis, double now) {
         revision++;
--- a/src/main/java/sprucelanding/simulation/soak/SoakFault.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakFault.java
@@ -50,4 +50,19 @@
 
     /** Connections to one governor that never send a join message. */
     record OpenUnjoinedConnections(double at, int governor, int count) implements SoakFault {}
+
+    /**
+     * Loss of all endpoints of a zone, which discovery lists as gone. They return under their names
+     * as new processes after the downtime.
+     */
+    record LoseZone(double at, int zone, double downtime) implements SoakFault {}
+
+    /**
+     * Draining of all endpoints of a zone, which then leave. They return under their names as new
+     * processes after the downtime.
+     */
+    record DrainZone(double at, int zone, double downtime) implements SoakFault {}
+
+    /** The proxies of a zone reach no governor for the length. */
+    record CutOffZone(double at, int zone, double length) implements SoakFault {}
 }
--- a/src/main/java/sprucelanding/simulation/soak/SoakFaultInjector.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakFaultInjector.java
@@ -16,6 +16,9 @@
     /** Time from the start of draining until the replacement is ready. */
     private static final double REPLACEMENT_DELAY_MS = 700;
 
+    /** Time from the loss of an endpoint until discovery lists it as gone. */
+    private static final double NOTICE_MS = 1800;
+
     private final EventLoop loop;
     private final SoakFleet fleet;
 
@@ -53,9 +56,35 @@
             loop.schedule(loss.length(), () -> fleet.setAcknowledgementLoss(0));
         } else if (fault instanceof SoakFault.OpenUnjoinedConnections unjoined) {
             openUnjoinedConnections(governor(unjoined.governor()), unjoined.count());
+        } else {
+            injectIntoZone(fault);
         }
     }
 
+    private void injectIntoZone(SoakFault fault) {
+        if (fault instanceof SoakFault.LoseZone loss) {
+            List<SoakEndpoints.Change> lost = fleet.endpoints().readyIn(loss.zone());
+            loop.schedule(NOTICE_MS, () -> changeState(lost, SoakEndpoints.State.GONE));
+            loop.schedule(loss.downtime() + NOTICE_MS, () -> returnAsNewProcesses(lost));
+        } else if (fault instanceof SoakFault.DrainZone drain) {
+            List<SoakEndpoints.Change> leaving = fleet.endpoints().readyIn(drain.zone());
+            changeState(leaving, SoakEndpoints.State.DRAINING);
+            loop.schedule(DRAIN_TIME_MS, () -> changeState(leaving, SoakEndpoints.State.GONE));
+            loop.schedule(drain.downtime() + DRAIN_TIME_MS, () -> returnAsNewProcesses(leaving));
+        } else if (fault instanceof SoakFault.CutOffZone cut) {
+            fleet.setCutOff(cut.zone(), true);
+            loop.schedule(cut.length(), () -> fleet.setCutOff(cut.zone(), false));
+        }
+    }
+
+    private void returnAsNewProcesses(List<SoakEndpoints.Change> returning) {
+        for (SoakEndpoints.Change endpoint : returning) {
+            fleet.endpoints()
+                    .restart(endpoint.uid(), System.currentTimeMillis(), EventLoop.nowMillis());
+        }
+        fleet.publishEndpoints();
+    }
+
     private SoakGovernor governor(int number) {
         return fleet.governors().get(number);
     }
--- a/src/main/java/sprucelanding/simulation/soak/SoakFleet.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakFleet.java
@@ -18,7 +18,11 @@
  * milliseconds.
  */
 final class SoakFleet implements FleetProxy.Host, SoakGovernor.Listener {
-    private static final String[] ZONES = {"a", "b", "c"};
+    static final String[] ZONES = {"a", "b", "c"};
+
+    /** The request class that stays in the proxy's zone, if the plan has one. */
+    static final String OWN_ZONE_CLASS = "near";
+
     private static final String[] REQUEST_CLASSES = {"read", "write"};
     private static final int INITIAL_TABLE_ENTRIES = 6;
     private static final int HEALTH_CHECK_PENDING_CONNECTIONS = 256;
@@ -77,6 +81,13 @@
                             this,
                             REQUEST_CLASSES,
                             drawInitialEndpoints(ready)));
+            if (plan.hasOwnZoneClass()) {
+                List<SoakEndpoints.Change> own = endpoints.readyIn(i % ZONES.length);
+                proxies.get(i)
+                        .addOwnZoneClass(
+                                OWN_ZONE_CLASS,
+                                own.stream().map(SoakEndpoints.Change::uid).toList());
+            }
         }
     }
 
@@ -114,6 +125,23 @@
         return proxies.stream().filter(proxy -> random.nextDouble() < share).toList();
     }
 
+    /** Sets whether the proxies of a zone reach no governor. */
+    void setCutOff(int zone, boolean isCutOff) {
+        proxies.stream()
+                .filter(proxy -> proxy.number() % ZONES.length == zone)
+                .forEach(proxy -> proxy.setCutOff(isCutOff));
+    }
+
+    /** Checks, after a time without faults, that no ejection has outlived its cause. */
+    void checkAtEnd() {
+        double now = EventLoop.nowMillis();
+        for (FleetProxy proxy : proxies) {
+            if (proxy.governor().isPresent()) {
+                checker.checkEjections(proxy, endpoints.ready(), now);
+            }
+        }
+    }
+
     /** Sends the changes of the endpoint list to all governors. */
     void publishEndpoints() {
         governors.forEach(governor -> governor.discovery().publish());
@@ -158,7 +186,8 @@
             double now) {
         if (governor.wasAvailableBefore(now)) {
             double upSince = governor.upSince().getAsDouble();
-            checker.check(proxy, governor.discovery(), removed, upSince, now);
+            boolean isOwnZoneEmpty = endpoints.readyIn(proxy.number() % ZONES.length).isEmpty();
+            checker.check(proxy, governor.discovery(), removed, isOwnZoneEmpty, upSince, now);
         }
     }
 
@@ -181,6 +210,9 @@
     @Override
     public OptionalInt governorFor(FleetProxy proxy) {
         double now = EventLoop.nowMillis();
+        if (proxy.isCutOff()) {
+            return OptionalInt.empty();
+        }
         List<SoakGovernor> available =
                 governors.stream().filter(governor -> governor.wasAvailableBefore(now)).toList();
         SoakGovernor preferred = preferredGovernor(proxy);
--- a/src/main/java/sprucelanding/simulation/soak/SoakPlan.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakPlan.java
@@ -19,6 +19,7 @@
  * @param entriesPerSecond rate of each governor's channel, in table entries per second
  * @param backlogLimit maximum number of table entries that wait in a channel
  * @param messageLimit maximum number of messages to one proxy within ten seconds; 0 for no limit
+ * @param hasOwnZoneClass whether there is a request class that stays in the proxy's zone
  * @param faults faults ordered by time
  */
 public record SoakPlan(
@@ -31,6 +32,7 @@
         double entriesPerSecond,
         int backlogLimit,
         int messageLimit,
+        boolean hasOwnZoneClass,
         List<SoakFault> faults) {
     /** Overhead of a message, in table entries. */
     public static final int MESSAGE_OVERHEAD_ENTRIES = 6;
@@ -42,6 +44,14 @@
 
     private static final int MESSAGE_LIMIT = 12;
 
+    /** Time from one fault of a zone to the next. */
+    private static final double ZONE_FAULT_MS = 12_000;
+
+    /** Time at the end of a soak with faults of zones during which no fault is injected. */
+    private static final double ZONE_RECOVERY_TIME_MS = 15_000;
+
+    private static final int ZONE_FAULT_ENDPOINTS = 36;
+
     /**
      * Returns a plan that reproduces incident 1: a release replaces endpoints step by step, and
      * meanwhile all governors but one are killed at the same time. The remaining governor takes
@@ -67,6 +77,7 @@
                 entriesPerSecondFor(proxies, 4000),
                 20_000,
                 MESSAGE_LIMIT,
+                false,
                 faults);
     }
 
@@ -99,9 +110,54 @@
                 entriesPerSecond,
                 backlogLimit,
                 MESSAGE_LIMIT,
+                false,
+                List.copyOf(faults));
+    }
+
+    /**
+     * Returns a plan with a request class that stays in the zone. Zones are lost and return, or are
+     * drained while their proxies reach no governor, and governors are restarted meanwhile.
+     */
+    public static SoakPlan zoneFaults(long seed, double duration, int governors, int proxies) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<SoakFault> faults = new ArrayList<>();
+        double at = FIRST_FAULT_MS;
+        while (at < duration - ZONE_FAULT_MS - ZONE_RECOVERY_TIME_MS) {
+            addZoneFaults(random, at, governors, faults);
+            at += ZONE_FAULT_MS;
+        }
+        return new SoakPlan(
+                seed,
+                duration,
+                governors,
+                proxies,
+                ZONE_FAULT_ENDPOINTS,
+                4000,
+                2 * entriesPerSecondFor(proxies, 4000),
+                20_000,
+                MESSAGE_LIMIT,
+                true,
                 List.copyOf(faults));
     }
 
+    /** Adds a fault of a zone, the restart of some governors during it, and another fault. */
+    private static void addZoneFaults(
+            SplittableRandom random, double at, int governors, List<SoakFault> faults) {
+        int zone = random.nextInt(SoakFleet.ZONES.length);
+        double downtime = 6000 + random.nextInt(4000);
+        if (random.nextBoolean()) {
+            faults.add(new SoakFault.LoseZone(at, zone, downtime));
+        } else {
+            faults.add(new SoakFault.CutOffZone(at, zone, 5000 + random.nextInt(4000)));
+            faults.add(new SoakFault.DrainZone(at + 1000, zone, downtime));
+        }
+        double restartAt = at + 2000 + random.nextInt(4000);
+        for (int governor : drawGovernors(random, governors)) {
+            faults.add(new SoakFault.Restart(restartAt, governor, 300 + random.nextInt(2000)));
+        }
+        faults.add(new SoakFault.ResetStreams(at + random.nextInt(9000), 0.3));
+    }
+
     /**
      * Returns the rate of a channel that delivers ten table entries to every proxy within half of
      * the grace.
--- a/src/main/java/sprucelanding/simulation/soak/SoakRunner.java
+++ b/src/main/java/sprucelanding/simulation/soak/SoakRunner.java
@@ -129,6 +129,7 @@
     }
 
     private void finish() {
+        fleet.checkAtEnd();
         long overdue = 0;
         for (SoakGovernor governor : fleet.governors()) {
             governor.process()
--- a/src/test/java/sprucelanding/simulation/soak/RecordedSoakReportTest.java
+++ b/src/test/java/sprucelanding/simulation/soak/RecordedSoakReportTest.java
@@ -12,7 +12,14 @@
     @Test
     void rulesArePrintedByTheirNames() {
         assertEquals(
-                List.of("DRAIN", "NO_ENDPOINT", "BACKLOG", "MESSAGES", "CRASH", "INTERNAL"),
+                List.of(
+                        "DRAIN",
+                        "NO_ENDPOINT",
+                        "BACKLOG",
+                        "MESSAGES",
+                        "CRASH",
+                        "INTERNAL",
+                        "EJECTION"),
                 Arrays.stream(InvariantChecker.Rule.values()).map(String::valueOf).toList());
     }
 
--- a/src/test/java/sprucelanding/simulation/soak/SoakTest.java
+++ b/src/test/java/sprucelanding/simulation/soak/SoakTest.java
@@ -20,4 +20,12 @@
                 SoakRunner.run(SoakPlan.random(seed, 25_000, 5, 300, 500), folder);
         assertEquals(Map.of(), report.violations(), report.toString());
     }
+
+    /** Guards against ejections and tables that outlive their cause when zones are lost. */
+    @ParameterizedTest
+    @ValueSource(longs = {1})
+    void lostAndDrainedZonesBreakNoRule(long seed, @TempDir Path folder) throws Exception {
+        SoakRunner.Report report = SoakRunner.run(SoakPlan.zoneFaults(seed, 54_000, 3, 60), folder);
+        assertEquals(Map.of(), report.violations(), report.toString());
+    }
 }
