Apply a list with an unusual revision or machine kind in full or not at all

What callers see: a list whose rev is 42.0, or an entry whose model is null or not a whole number, was applied to the directory of names but not to the decisions, and was requested again and again.

Cause: such a value threw an exception in the middle of the list.

Change: a revision is read as the whole number that it is; a machine kind that the site does not have is the default kind, as for unknown names.

Seen to fail before the fix: SpoiltMessagesTest.spoiltListIsAppliedOrRejected ("NumberFormatException"), the net for discovery's lists: each field of an entry, absent, of another type, denormal, huge, negative, zero or not finite.

Measured: it passes, with the tests of directory and server.

--- a/src/main/java/sprucelanding/runtime/server/EndpointDirectory.java
+++ b/src/main/java/sprucelanding/runtime/server/EndpointDirectory.java
@@ -170,14 +170,18 @@
         return endpoint;
     }
 
-    /** Returns the number of a machine kind that a list gives by number or by name. */
+    /**
+     * Returns the number of a machine kind that a list gives by number or by name; the default kind
+     * if the list gives none of the site.
+     */
     private int kindIndex(JsonValue kind) {
         if (kind == null) {
             return DEFAULT_KIND;
         }
-        return kind.isNumber()
-                ? kind.asInt()
-                : Math.max(DEFAULT_KIND, kinds.indexOf(kind.asString()));
+        double number = kind.isNumber() ? kind.asDouble() : DEFAULT_KIND;
+        boolean isWhole = number == Math.rint(number) && Math.abs(number) <= Integer.MAX_VALUE;
+        int index = kind.isString() ? kinds.indexOf(kind.asString()) : (int) number;
+        return isWhole ? Math.max(DEFAULT_KIND, index) : DEFAULT_KIND;
     }
 
     /**
--- a/src/main/java/sprucelanding/runtime/server/EndpointListUpdate.java
+++ b/src/main/java/sprucelanding/runtime/server/EndpointListUpdate.java
@@ -49,12 +49,8 @@
         return number == Math.rint(number) && Math.abs(number) < MAX_WHOLE_NUMBER;
     }
 
-    /**
-     * Returns discovery's revision of the list.
-     *
-     * @throws NumberFormatException if the number is written with a fraction or an exponent
-     */
+    /** Returns discovery's revision of the list. */
     long revision() {
-        return revisionNumber.asLong();
+        return (long) revisionNumber.asDouble();
     }
 }
--- a/src/test/java/sprucelanding/runtime/server/SpoiltMessagesTest.java
+++ b/src/test/java/sprucelanding/runtime/server/SpoiltMessagesTest.java
@@ -182,4 +182,56 @@
             governor.controller.demandReported(proxy, proxy % 3, 25, 1000);
         }
     }
+
+    private static final Map<String, String> GOOD_ENTRY =
+            Map.of(
+                    "uid", "\"e-3\"",
+                    "endpoint", "\"127.0.0.1:9003\"",
+                    "az", "\"south\"",
+                    "model", "\"slim\"",
+                    "pod_group", "1",
+                    "state", "\"ready\"",
+                    "capacity_hint", "1.0",
+                    "boot_ms", "1700000001000");
+
+    @Provide
+    Arbitrary<List<String>> spoiltLists() {
+        Arbitrary<String> value = Arbitraries.of(SPOILT_VALUES).injectNull(0.1);
+        Arbitrary<String> entry =
+                Combinators.combine(Arbitraries.of(GOOD_ENTRY.keySet()), value)
+                        .as((field, spoilt) -> spoil(GOOD_ENTRY, field, spoilt));
+        Arbitrary<String> revision = Arbitraries.of("42", "42.0", "4.2e1", "-1", "1e999", "null");
+        return Combinators.combine(revision, Arbitraries.of("true", "false"), entry)
+                .as(
+                        (rev, all, spoilt) ->
+                                "{\"rev\":%s,\"all\":%s,\"targets\":[%s,%s]}"
+                                        .formatted(
+                                                rev,
+                                                all,
+                                                spoilt,
+                                                VirtualGovernor.entry(2, "draining", 0)))
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(6);
+    }
+
+    /** Guards against lists that are applied to the directory but not to the decisions. */
+    @Property(tries = 150, seed = "47")
+    void spoiltListIsAppliedOrRejected(@ForAll("spoiltLists") List<String> lists) {
+        VirtualGovernor governor = new VirtualGovernor(endpoint -> HealthCheckResult.OK);
+        governor.applyList(VirtualGovernor.readyList(41, ENDPOINTS), ListOrigin.LAST_RUN);
+        joinProxies(governor);
+        for (String list : lists) {
+            try {
+                governor.applyList(list, ListOrigin.DISCOVERY);
+            } catch (MalformedInputException e) {
+                // the list as a whole is malformed, and the whole list is requested
+            }
+            for (int step = 0; step < STEPS_PER_REPORT; step++) {
+                governor.advance(STEP_MS);
+                governor.decide();
+            }
+            assertEquals(List.of(), StateFigures.invalidFiguresOf(governor.controller));
+        }
+    }
 }
