Evict a connection whose peer has reset without failing the accept step

What callers see: under a shortage of descriptors, "a step failed" with a NoSuchElementException, and the rest of the evictions of that step is left out.

Cause: writing the rejection to a peer that has reset closes the connection. It then is not among the rejected connections, from which the next one was taken.

Change: the connection that was chosen is closed, whatever the rejection did.

--- a/src/main/java/sprucelanding/runtime/server/ConnectionRegistry.java
+++ b/src/main/java/sprucelanding/runtime/server/ConnectionRegistry.java
@@ -122,15 +122,15 @@
 
     /**
      * Closes the connection that was rejected first. If there is none, rejects and closes the
-     * oldest unjoined connection.
+     * oldest unjoined connection, which the rejection itself may have closed.
      */
     void evictOldest() {
-        if (rejected.isEmpty()) {
-            unjoined.iterator()
-                    .next()
-                    .reject("evicted: the descriptors of the process are used up");
+        boolean hasRejected = !rejected.isEmpty();
+        ClientConnection oldest = (hasRejected ? rejected : unjoined).iterator().next();
+        if (!hasRejected) {
+            oldest.reject("evicted: the descriptors of the process are used up");
         }
-        rejected.iterator().next().close();
+        oldest.close();
     }
 
     /** Counts a message that is ignored. */
--- a/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
+++ b/src/test/java/sprucelanding/runtime/server/GovernorServerTest.java
@@ -1,6 +1,7 @@
 package sprucelanding.runtime.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -386,4 +388,38 @@
             harness.nextWatch("/v1/endpoints?stream=1 ");
         }
     }
+
+    /** Guards against a failing accept step when the connection to evict has been reset. */
+    @Test
+    void connectionThatWasResetCanBeEvicted() throws Exception {
+        try (ServerHarness harness = new ServerHarness(folder, 60)) {
+            for (int round = 0; round < 10; round++) {
+                List<ServerHarness.Peer> reset = new ArrayList<>();
+                for (int i = 0; i < 20; i++) {
+                    reset.add(harness.connect());
+                }
+                harness.joinedStream(7); // all earlier connections are accepted
+                CountDownLatch isReset = new CountDownLatch(1);
+                harness.loop.tryExecute(() -> awaitLatch(isReset));
+                for (ServerHarness.Peer peer : reset) {
+                    peer.socket.setSoLinger(true, 0);
+                    peer.close();
+                }
+                for (int i = 0; i < 20; i++) {
+                    harness.connect();
+                }
+                isReset.countDown();
+                harness.joinedStream(8);
+            }
+            assertFalse(harness.hasLogged("a step failed"));
+        }
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
