--- a/src/main/java/sprucelanding/control/decision/OutputScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/OutputScheduler.java
@@ -47,7 +47,7 @@
         restorations = new RestorationScheduler(time, tables, channel);
         starterTables = new StarterTables(tables, random);
         binds =
-                new BindScheduler(
+                createBinds(
                         time,
                         proxies,
                         tables,
@@ -55,10 +55,6 @@
                         drains,
                         joins,
                         weights,
-                        admission,
-                        starterTables,
-                        endpoints,
-                        restorations,
                         requestClasses.length);
         ejections =
                 new EjectionQueue(
@@ -84,6 +80,30 @@
                 new UnusedTableCleaner(tables, starterTables, channel, weightUpdates::invalidate);
     }
 
+    private BindScheduler createBinds(
+            EventTime time,
+            ProxyRegistry proxies,
+            RoutingTables tables,
+            ChannelBudget channel,
+            DrainTracker drains,
+            JoinForecast joins,
+            WeightPolicy weights,
+            int requestClassCount) {
+        return new BindScheduler(
+                time,
+                proxies,
+                tables,
+                channel,
+                drains,
+                joins,
+                weights,
+                admission,
+                starterTables,
+                endpoints,
+                restorations,
+                requestClassCount);
+    }
+
     /** Sets the time within which proxies must stop sending to a removed endpoint, ms. */
     void configure(double drainGrace) {
         binds.configure(drainGrace);
--- a/src/test/java/sprucelanding/runtime/server/ProxyStateTest.java
+++ b/src/test/java/sprucelanding/runtime/server/ProxyStateTest.java
@@ -155,6 +155,7 @@
             case GOVERNOR_STARTS -> fleet.startGovernor();
             case TIME_PASSES -> fleet.run(6000);
             case NAMES_ARE_FORGOTTEN -> fleet.run(64_000);
+            default -> throw new AssertionError(event);
         }
     }
 }
--- a/src/test/java/sprucelanding/runtime/server/ServerHarness.java
+++ b/src/test/java/sprucelanding/runtime/server/ServerHarness.java
@@ -249,6 +249,15 @@
         return peer;
     }
 
+    /** Sends a long message without an end. */
+    static void sendEndlessMessage(Peer stream) throws IOException {
+        try {
+            stream.send("{\"msg\":\"ping\",\"pad\":\"" + "x".repeat(600_000));
+        } catch (IOException e) {
+            // closed before all was sent
+        }
+    }
+
     /** Returns the result of a call on the event loop's thread. */
     <T> T onLoop(Callable<T> callable) throws InterruptedException {
         FutureTask<T> task = new FutureTask<>(callable);
