--- a/src/test/java/sprucelanding/runtime/server/EventLogTest.java
+++ b/src/test/java/sprucelanding/runtime/server/EventLogTest.java
@@ -122,6 +122,7 @@
                         new DecisionEvent.SubsetsResized(3, 0.5),
                         new DecisionEvent.OverloadChanged(true, 0.9, 0, 0),
                         new DecisionEvent.OverloadChanged(false, 0.5, 0, 0),
+                        new DecisionEvent.OrderLimitReached(1000, 1),
                         new DecisionEvent.DrainViolations(1, Map.of()),
                         new DecisionEvent.DrainStatus(1, 0, 0, 0, 0, 0, 0, 0, "{}", 0));
         Set<Class<?>> sampled = new HashSet<>();
