--- /dev/null
+++ b/review/stand-ins-2/sprucereview2/ReviewCase.java
@@ -0,0 +1,39 @@
+package sprucereview2;
+
+import java.nio.file.Path;
+
+/** The frame of a case: a fleet, the disruption unless TROUBLE is 0, and the exit code. */
+abstract class ReviewCase {
+    private static final int COULD_NOT_RUN = 2;
+
+    final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+
+    /** Returns the figures of the deployment. */
+    abstract Plan plan();
+
+    /** Plays the case. */
+    abstract void play(Fleet fleet) throws Exception;
+
+    /**
+     * Returns the rules that the case judges, by their names in the record; a broken rule that is
+     * not among them is recorded too.
+     */
+    abstract String[] rules();
+
+    /** Runs the case and ends this program. */
+    final void run(String recordFile) {
+        int code = COULD_NOT_RUN;
+        try (Fleet fleet = new Fleet(plan(), Path.of(recordFile))) {
+            Runtime.getRuntime().addShutdownHook(new Thread(fleet::killGovernors));
+            fleet.record.line("disruption: %s", hasTrouble ? "yes" : "none");
+            fleet.startGovernors();
+            fleet.startProxies();
+            play(fleet);
+            code = fleet.finish(rules());
+        } catch (Exception e) { // the case could not run
+            e.printStackTrace();
+            code = COULD_NOT_RUN;
+        }
+        System.exit(code);
+    }
+}
