--- a/review/stand-ins-2/sprucereview2/Fleet.java
+++ b/review/stand-ins-2/sprucereview2/Fleet.java
@@ -32,7 +32,7 @@
     final List<Proxy> proxies = new ArrayList<>();
     private final Path folder;
     private final SplittableRandom random = new SplittableRandom(1);
-    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(3);
     private final Map<String, Sums> sums = new ConcurrentHashMap<>();
     private final Map<String, Socket> collectors = new ConcurrentHashMap<>();
     volatile boolean isClosed;
@@ -90,6 +90,19 @@
         governor.start();
     }
 
+    /** Starts a governor that has ended, with the list as it last had it. */
+    void restartGovernor(Governor governor, JsonObject known) {
+        try {
+            governor.writeConfig(
+                    discoveryOf(governor).address(), known, plan.settings(governor.number));
+            governor.start();
+        } catch (IOException e) {
+            judge.governorEnded(governor);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     void startProxies() {
         for (int i = 0; i < plan.proxies; i++) {
             // most carry little traffic, some far more
--- a/review/stand-ins-2/sprucereview2/Governor.java
+++ b/review/stand-ins-2/sprucereview2/Governor.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -131,9 +132,16 @@
     }
 
     /** Sends a signal to the process: KILL, TERM, STOP, CONT or HUP. */
-    void signal(String name) throws IOException, InterruptedException {
+    void signal(String name) {
         record.line("signal %s to governor %d", name, number);
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        try {
+            String pid = Long.toString(process.pid());
+            new ProcessBuilder("kill", "-" + name, pid).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     void kill() {
--- a/review/stand-ins-2/sprucereview2/Judge.java
+++ b/review/stand-ins-2/sprucereview2/Judge.java
@@ -68,12 +68,14 @@
             }
             breaks(
                     "drain",
-                    "proxy %d sends %s to %s %.0f ms after governor %d was told (or it joined)",
+                    "proxy %d sends %s to %s %.0f ms after governor %d was told (or it joined);"
+                            + " it has read %d messages in the span",
                     proxy.number,
                     fleet.plan.classes[requestClass],
                     uid,
                     since,
-                    governor.number);
+                    governor.number,
+                    proxy.recentMessages());
         }
     }
 
--- a/review/stand-ins-2/sprucereview2/Proxy.java
+++ b/review/stand-ins-2/sprucereview2/Proxy.java
@@ -195,11 +195,10 @@
             lines += part.get("nonce_out") == null ? 0 : 1;
         }
         lastMessageAt = now;
-        current.messageTimes.add(now);
-        while (current.messageTimes.peek() < now - fleet.plan.messageSpan) {
-            current.messageTimes.poll();
+        synchronized (current.messageTimes) {
+            current.messageTimes.add(now);
         }
-        int recent = current.messageTimes.size();
+        int recent = recentMessages();
         boolean isLimited = fleet.plan.messageLimit > 0;
         fleet.judge.messages(this, isLimited ? recent : 0);
         int waiting =
@@ -213,6 +212,19 @@
         }
     }
 
+    /** Returns the number of messages that have arrived on the stream within the span. */
+    int recentMessages() {
+        Stream current = stream;
+        if (current == null) {
+            return 0;
+        }
+        synchronized (current.messageTimes) {
+            double from = Recorder.now() - fleet.plan.messageSpan;
+            current.messageTimes.removeIf(time -> time < from);
+            return current.messageTimes.size();
+        }
+    }
+
     /** A message is on its way; messages of a stream are applied in their order. */
     private void leftChannel(Stream current, Runnable apply) {
         synchronized (current.inTransit) {
