Review case 9: an older list after SIGHUP puts removed replicas back into the tables

Cause: EndpointDirectory.applyList applies a list of any revision, also one below the last that was applied; an endpoint that is gone then returns to service with the same start time.

The stand-in of discovery answers a version that it does not hold with its whole list.

Result: three replicas drain and are gone, then SIGHUP moves discovery to an agent that is sent changes 5.5 s later.

--- a/review/stand-ins-2/sprucereview2/Discovery.java
+++ b/review/stand-ins-2/sprucereview2/Discovery.java
@@ -174,11 +174,13 @@
                                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                                         .getBytes(StandardCharsets.US_ASCII));
                 int index = request.indexOf("index=");
-                if (index < 0) {
+                int after =
+                        index < 0
+                                ? Integer.MAX_VALUE
+                                : Integer.parseInt(request.substring(index + 6).split("[ &]")[0]);
+                if (after > version) { // what changed after that version is not held here
                     send(List.of(watch), known(), List.copyOf(entries.values()));
                 } else {
-                    int after =
-                            Integer.parseInt(request.substring(index + 6).split("[ &]")[0]);
                     sendChangesAfter(after, watch);
                 }
                 watches.add(watch);
