--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,5 +4,8 @@
 # there is no disruption.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
+for needed in target/sprucelanding.jar review/stand-ins-2/build/sprucereview2/RestartedGovernors.class; do
+    [ -f "$needed" ] || { echo "$needed is absent" >&2; exit 2; }
+done
 exec java -Xmx400m -cp review/stand-ins-2/build:target/sprucelanding.jar \
     sprucereview2.RestartedGovernors "$folder/record.txt"
--- a/review/stand-ins-2/sprucereview2/ReviewCase.java
+++ b/review/stand-ins-2/sprucereview2/ReviewCase.java
@@ -30,7 +30,7 @@
             fleet.startProxies();
             play(fleet);
             code = fleet.finish(rules());
-        } catch (Exception e) { // the case could not run
+        } catch (Exception | Error e) { // the case could not run
             e.printStackTrace();
             code = COULD_NOT_RUN;
         }
