--- a/review/stand-ins-2/sprucereview2/Fleet.java
+++ b/review/stand-ins-2/sprucereview2/Fleet.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -17,10 +18,19 @@
 
 /** Governors as processes of their own, with stand-ins for all that they speak with. */
 final class Fleet implements AutoCloseable {
-    /** Results at one replica, of the proxies of one zone that joined one governor. */
+    /**
+     * What is reported as one line: the results at one replica, of the proxies of one zone that
+     * joined one governor; or the requests of a class that came to a proxy, which counts them.
+     */
     private static final class Sums {
+        Governor governor;
+        String zone;
+        String uid;
         int tries;
         int bad;
+        Proxy proxy;
+        int requestClass;
+        double since = Recorder.now();
     }
 
     final Plan plan;
@@ -108,7 +118,14 @@
             // most carry little traffic, some far more
             double share = (i % 4 == 0 ? 2.5 : 0.5) / plan.proxies;
             String zone = plan.zones[i % plan.zones.length];
-            proxies.add(new Proxy(this, i, zone, share * plan.requestsPerSecond));
+            Proxy proxy = new Proxy(this, i, zone, share * plan.requestsPerSecond);
+            proxies.add(proxy);
+            for (int c = 0; c < plan.classes.length; c++) {
+                Sums usage = new Sums();
+                usage.proxy = proxy;
+                usage.requestClass = c;
+                sums.put("usage " + i + " " + c, usage);
+            }
         }
         proxies.forEach(proxy -> Discovery.daemon(proxy::run, "proxy-" + proxy.number));
         Discovery.daemon(this::traffic, "traffic");
@@ -162,7 +179,8 @@
         if (governor != null) {
             Sums counted =
                     sums.computeIfAbsent(
-                            governor.number + " " + proxy.zone + " " + uid, key -> new Sums());
+                            governor.number + " " + proxy.zone + " " + uid,
+                            key -> newSums(governor, proxy.zone, uid));
             synchronized (counted) {
                 counted.tries++;
                 counted.bad += isGood ? 0 : 1;
@@ -170,6 +188,14 @@
         }
     }
 
+    private static Sums newSums(Governor governor, String zone, String uid) {
+        Sums counted = new Sums();
+        counted.governor = governor;
+        counted.zone = zone;
+        counted.uid = uid;
+        return counted;
+    }
+
     private void traffic() {
         double last = Recorder.now();
         try {
@@ -191,41 +217,59 @@
         }
     }
 
+    /** Reports once a second; each governor gets so many lines, the oldest first. */
     private void report() {
         try {
-            proxies.forEach(proxy -> proxy.reportUsage(1000));
-            for (Map.Entry<String, Sums> entry : sums.entrySet()) {
-                String[] key = entry.getKey().split(" ");
-                Sums taken = new Sums();
-                synchronized (entry.getValue()) {
-                    taken.tries = entry.getValue().tries;
-                    taken.bad = entry.getValue().bad;
-                    entry.getValue().tries = 0;
-                    entry.getValue().bad = 0;
-                }
-                if (taken.tries > 0) {
-                    heard(governors.get(Integer.parseInt(key[0])), key[1], key[2], taken);
-                }
-            }
+            governors.forEach(this::report);
         } catch (RuntimeException e) {
             record.line("stand-in failed: %s", e);
         }
     }
 
-    private void heard(Governor governor, String zone, String uid, Sums taken) {
+    private void report(Governor governor) {
+        List<Sums> due = new ArrayList<>();
+        for (Sums counted : sums.values()) {
+            boolean isReported = counted.governor == governor && counted.tries > 0;
+            boolean isUsage = counted.proxy != null && counted.proxy.joinedTo == governor;
+            if (isReported || isUsage) {
+                due.add(counted);
+            }
+        }
+        due.sort(Comparator.comparingDouble(counted -> counted.since));
+        for (Sums counted : due.subList(0, Math.min(plan.intake, due.size()))) {
+            double now = Recorder.now();
+            double window = Math.max(1, now - counted.since);
+            counted.since = now;
+            if (counted.proxy != null) {
+                counted.proxy.reportUsage(counted.requestClass, window);
+            } else {
+                heard(counted, window);
+            }
+        }
+    }
+
+    private void heard(Sums counted, double window) {
+        int tries;
+        int bad;
+        synchronized (counted) {
+            tries = counted.tries;
+            bad = counted.bad;
+            counted.tries = 0;
+            counted.bad = 0;
+        }
         JsonObject message =
                 new JsonObject()
                         .add("msg", "heard")
-                        .add("az", zone)
-                        .add("host", uid)
-                        .add("n", taken.tries)
-                        .add("bad", taken.bad)
-                        .add("avg", taken.bad == taken.tries ? 0.0 : 120.0)
-                        .add("window", 1000.0);
-        if (taken.bad < taken.tries) {
-            message.add("report", replicas.get(uid).report());
+                        .add("az", counted.zone)
+                        .add("host", counted.uid)
+                        .add("n", tries)
+                        .add("bad", bad)
+                        .add("avg", bad == tries ? 0.0 : 120.0)
+                        .add("window", window);
+        if (bad < tries) {
+            message.add("report", replicas.get(counted.uid).report());
         }
-        at(Recorder.now() + 600, () -> send(governor, zone, message));
+        at(Recorder.now() + 600, () -> send(counted.governor, counted.zone, message));
     }
 
     private void send(Governor governor, String zone, JsonObject message) {
--- a/review/stand-ins-2/sprucereview2/Plan.java
+++ b/review/stand-ins-2/sprucereview2/Plan.java
@@ -28,6 +28,10 @@
     double linesPerSecond = 3300;
     int head = 6;
     double queueCap = 5000;
+
+    /** Lines of reports that a governor is given in a second. */
+    int intake = 150;
+
     int messageLimit = 12;
     double messageSpan = 10_000;
     double transitMean = 200;
@@ -85,7 +89,7 @@
                         .add("head", (double) head)
                         .add("homeOnly", own)
                         .add("inFlightMaxUs", 2_020_000)
-                        .add("intakePerS", 150.0)
+                        .add("intakePerS", (double) intake)
                         .add("keepsWritingUs", 2_500_000)
                         .add("minConnCap", 456.0)
                         .add("orderPrice", 0.02)
--- a/review/stand-ins-2/sprucereview2/Proxy.java
+++ b/review/stand-ins-2/sprucereview2/Proxy.java
@@ -347,19 +347,20 @@
         }
     }
 
-    /** Sends the reports on the requests that came in, by class. */
-    void reportUsage(double window) {
+    /** Sends the report on the requests of a class that came in within the window, ms. */
+    void reportUsage(int c, double window) {
         Stream current = stream;
-        for (int c = 0; current != null && c < arrived.length; c++) {
-            JsonObject usage = new JsonObject().add("msg", "usage").add("sidecar", number);
-            synchronized (arrived) {
-                usage.add("kind", fleet.plan.classes[c]).add("n", arrived[c]);
-                usage.add("bad", Math.min(arrived[c], unserved[c])).add("window", window);
-                arrived[c] = 0;
-                unserved[c] = 0;
-            }
-            current.send(usage);
+        if (current == null) {
+            return;
+        }
+        JsonObject usage = new JsonObject().add("msg", "usage").add("sidecar", number);
+        synchronized (arrived) {
+            usage.add("kind", fleet.plan.classes[c]).add("n", arrived[c]);
+            usage.add("bad", Math.min(arrived[c], unserved[c])).add("window", window);
+            arrived[c] = 0;
+            unserved[c] = 0;
         }
+        current.send(usage);
     }
 
     /** Breaks the stream by a reset. */
