--- a/review/stand-ins-2/sprucereview2/MovedDiscovery.java
+++ b/review/stand-ins-2/sprucereview2/MovedDiscovery.java
@@ -13,12 +13,12 @@
     private static final int DRAINED = 3;
 
     /** How much later the second agent is sent a change, ms. */
-    private static final double LAG = 5500;
+    private static final double LAG = 2800;
 
     /** Times after the draining, ms. */
     private static final double GONE_AFTER = 2500;
 
-    private static final double MOVED_AFTER = 3000;
+    private static final double MOVED_AFTER = 600;
     private static final double OLD_AGENT_CLOSES_AFTER = 1500;
 
     public static void main(String[] arguments) {
@@ -50,9 +50,12 @@
         double start = Recorder.now();
         List<Replica> three = sorted.subList(0, DRAINED);
         publish(fleet, second, entries(three, "draining"));
-        fleet.sleepUntil(start + GONE_AFTER);
-        three.forEach(Replica::stop);
-        publish(fleet, second, entries(three, "gone"));
+        fleet.at(
+                start + GONE_AFTER,
+                () -> {
+                    three.forEach(Replica::stop);
+                    publish(fleet, second, entries(three, "gone"));
+                });
         fleet.sleepUntil(start + MOVED_AFTER);
         if (hasTrouble) {
             governor.writeConfig(
--- a/review/stand-ins-2/sprucereview2/ReturningZone.java
+++ b/review/stand-ins-2/sprucereview2/ReturningZone.java
@@ -7,12 +7,13 @@
 
 /**
  * Case 7: the classes stay in the proxy's zone. All replicas of a zone are lost for 9 s and come
- * back cold at one time; the list tells of them one by one, within 5 s.
+ * back cold at one time; the list tells of them one by one, 0.42 to 2.3 s after their start.
  */
 final class ReturningZone extends ReviewCase {
     private static final double OUTAGE = 9000;
-    private static final double TOLD_AFTER = 1000;
-    private static final double TOLD_APART = 1000;
+    private static final double LOSS_TOLD_AFTER = 2000;
+    private static final double RETURN_TOLD_AFTER = 420;
+    private static final double RETURN_TOLD_APART = 470;
 
     public static void main(String[] arguments) {
         new ReturningZone().run(arguments[0]);
@@ -48,7 +49,7 @@
         lost.forEach(Replica::stop);
         double now = Recorder.now();
         fleet.at(
-                now + TOLD_AFTER,
+                now + LOSS_TOLD_AFTER,
                 () -> {
                     List<JsonObject> entries = new ArrayList<>();
                     lost.forEach(replica -> entries.add(replica.entry("gone")));
@@ -63,7 +64,7 @@
         for (int i = 0; i < lost.size(); i++) {
             Replica replica = lost.get(i);
             fleet.at(
-                    now + OUTAGE + TOLD_AFTER + i * TOLD_APART,
+                    now + OUTAGE + RETURN_TOLD_AFTER + i * RETURN_TOLD_APART,
                     () -> fleet.publish(List.of(replica.entry("ready"))));
         }
     }
