Decide the same on every processor: StrictMath in place of Math's transcendentals

Cause: Math.exp, Math.log and Math.pow may differ in the last bit from one processor to another (java.lang.Math: within 1 ulp). The recordings held x86-64's own rounding. StrictMath and the basic operations are defined to the bit.

Change: StrictMath in all eight places.

Not run on x86-64; nothing in the result depends on the processor any more.

--- a/src/main/java/sprucelanding/control/decision/LoadEstimator.java
+++ b/src/main/java/sprucelanding/control/decision/LoadEstimator.java
@@ -183,7 +183,7 @@
     private void ageEvidence(List<Endpoint> available, boolean overloaded) {
         double interval = EventTime.UPDATE_INTERVAL_MS;
         double keptSpeedEvidence =
-                Math.exp(
+                StrictMath.exp(
                         -interval
                                 / (overloaded
                                         ? OVERLOAD_SPEED_EVIDENCE_DECAY_MS
@@ -198,7 +198,7 @@
     }
 
     private static double keptHealthEvidence() {
-        return Math.exp(-EventTime.UPDATE_INTERVAL_MS / HEALTH_EVIDENCE_DECAY_MS);
+        return StrictMath.exp(-EventTime.UPDATE_INTERVAL_MS / HEALTH_EVIDENCE_DECAY_MS);
     }
 
     /**
--- a/src/main/java/sprucelanding/replay/estimate/EstimatedFleet.java
+++ b/src/main/java/sprucelanding/replay/estimate/EstimatedFleet.java
@@ -48,6 +48,6 @@
     }
 
     private double squaredError(long endpointId, double capacity) {
-        return Math.pow(capacity * capacityErrorByEndpoint.get(endpointId), 2);
+        return StrictMath.pow(capacity * capacityErrorByEndpoint.get(endpointId), 2);
     }
 }
--- a/src/main/java/sprucelanding/simulation/emulator/CapturedDemand.java
+++ b/src/main/java/sprucelanding/simulation/emulator/CapturedDemand.java
@@ -30,7 +30,7 @@
         nextIndex++;
         double work =
                 Double.isNaN(request.workMillis())
-                        ? -Math.log(1 - workRandom.nextDouble())
+                        ? -StrictMath.log(1 - workRandom.nextDouble())
                                 * scenario.products().get(request.classIndex()).work()
                         : request.workMillis();
         return new Arrival(Math.max(0, request.at()), request.classIndex(), work);
--- a/src/main/java/sprucelanding/simulation/loopback/SimulatedClients.java
+++ b/src/main/java/sprucelanding/simulation/loopback/SimulatedClients.java
@@ -243,7 +243,7 @@
 
     private void scheduleNext(double afterMillis) {
         double gapMillis =
-                -Math.log(1 - random.nextDouble())
+                -StrictMath.log(1 - random.nextDouble())
                         / Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond.getAsDouble())
                         * MILLIS_PER_SECOND;
         double nextAt = afterMillis + Math.min(gapMillis, MAX_ARRIVAL_GAP_MILLIS);
@@ -273,7 +273,7 @@
             requestClass++;
         }
         double meanWork = requestClasses.get(requestClass).meanWork;
-        double work = -Math.log(1 - random.nextDouble()) * meanWork;
+        double work = -StrictMath.log(1 - random.nextDouble()) * meanWork;
         new ClientRequest(requestClass, Math.min(work, MAX_WORK_FACTOR * meanWork), plannedAt)
                 .send();
     }
--- a/src/main/java/sprucelanding/simulation/model/EndpointModel.java
+++ b/src/main/java/sprucelanding/simulation/model/EndpointModel.java
@@ -252,7 +252,7 @@
                 hung ? 0 : Math.min(1, runningJobs.size() / (capacity.cores * (1 - stolenShare)));
         utilization +=
                 (busyShare - utilization)
-                        * (1 - Math.exp(-elapsedMillis / UTILIZATION_WINDOW_MILLIS));
+                        * (1 - StrictMath.exp(-elapsedMillis / UTILIZATION_WINDOW_MILLIS));
         advancedAt = now;
         List<J> ended = null;
         while (!runningJobs.isEmpty()
--- a/src/main/java/sprucelanding/simulation/scenario/Scenario.java
+++ b/src/main/java/sprucelanding/simulation/scenario/Scenario.java
@@ -346,7 +346,7 @@
         double sum = 0;
         for (int i = 0; i < expectedLoads.length; i++) {
             expectedLoads[i] =
-                    Math.exp(LOG_LOAD_DEVIATION * new Random(seed * 31 + i).nextGaussian());
+                    StrictMath.exp(LOG_LOAD_DEVIATION * new Random(seed * 31 + i).nextGaussian());
             sum += expectedLoads[i];
         }
         for (int i = 0; i < expectedLoads.length; i++) {
