Removals share scarce messages as their grace allows, and keep room for later ones

After 4 s no proxy hears of a removal for up to 6 s; requests go to replicas that drain and to processes that have ended.

Cause: each removal was sent at once in a message of its own. Removals waited for one another only if two intervals of ordinary messages and the longest transit time fitted before the deadline, which a grace of 2 s never leaves; ordinary messages could take the last room too.

Evidence: drain_status has waiting_lines=0, lines_per_s=3300 (the channel is not full) and not_ordered 24, 96, 144 while nothing is booked; drain_overdue says NOT_ORDERED, so no acknowledgement is missing; the late proxies have read 11 or 12 messages.

Change: MessagePacing keeps, for each proxy, room for one message at the end of each wait that a removal can bear, and lets no other message take it. RemovalTiming gives the latest time of a removal from its deadline, transit time, queue and receivers; a timer wakes the decisions then. Entries that would make a removal late are left out of its message. Rounds of EjectionQueue follow the same rule.

Why it works: where the limit bears one message for each wait, the reserve holds whatever drains and when; elsewhere removals are as late as the grace allows, which needs the fewest messages.

--- a/src/main/java/sprucelanding/control/decision/ChannelBudget.java
+++ b/src/main/java/sprucelanding/control/decision/ChannelBudget.java
@@ -54,28 +54,22 @@
     /** Time within which the queue must drain at the measured rate, mandatory updates aside. */
     private static final double MAX_QUEUE_TIME_MS = 3000;
 
-    /** Smallest measured rate, as a share of the configured rate. */
-    private static final double MIN_RATE_SHARE = 0.05;
-
-    /** Largest factor by which the rate recovers in a periodic update while the queue is short. */
-    private static final double RATE_RECOVERY_FACTOR = 1.6;
-
     /** Messages remain in the count for the span plus this share of an update interval. */
     private static final double MESSAGE_SPAN_MARGIN_INTERVALS = 0.25;
 
     private final EventTime time;
+    private final ChannelRate rate = new ChannelRate();
+    private final MessagePacing pacing;
+    private final RemovalTiming removals;
     private final EnumMap<Purpose, Double> bookedByPurpose = new EnumMap<>(Purpose.class);
 
     /** By acknowledgement number, the batches that no later acknowledgement has made obsolete. */
     private final Map<Integer, SentBatch> unacknowledgedBatches = new LinkedHashMap<>();
 
-    private double configuredRate;
-    private double measuredRate;
     private double messageOverhead;
     private double queueLimit;
     private int messageLimit;
     private double messageSpan;
-    private double maxTransitTime = EventTime.UPDATE_INTERVAL_MS;
     private long lastMessageNumber;
     private double bookedEntries;
     private double deliveredEntries;
@@ -90,12 +84,16 @@
     /** Entries of the open batch by proxy number. */
     private Map<Integer, Double> batchEntriesByProxy = new HashMap<>();
 
-    private double queuedAtUpdate;
-    private double bookedAtUpdate;
-
     /** Creates a budget without limits set; see {@link #configure}. */
     ChannelBudget(EventTime time) {
         this.time = time;
+        pacing = new MessagePacing(time);
+        removals = new RemovalTiming(time, pacing);
+    }
+
+    /** Returns the times at which proxies may be sent messages. */
+    MessagePacing pacing() {
+        return pacing;
     }
 
     /**
@@ -109,32 +107,31 @@
      */
     void configure(
             double rate, double overhead, double maxQueuedEntries, int maxMessages, double span) {
-        configuredRate = rate;
-        measuredRate = rate;
+        this.rate.configure(rate);
         messageOverhead = overhead;
         queueLimit = maxQueuedEntries;
         messageLimit = maxMessages;
         messageSpan = span;
+        pacing.configure(maxMessages, countedSpan());
     }
 
-    /** Sets the longest time that a message takes to reach a proxy and be applied, ms. */
-    void setMaxTransitTime(double maxTransitTime) {
-        this.maxTransitTime = maxTransitTime;
+    RemovalTiming removals() {
+        return removals;
     }
 
     /** Returns the configured rate, entries per ms. */
     double configuredRate() {
-        return configuredRate;
+        return rate.configured();
     }
 
     /** Returns the rate that is assumed where none has been measured, entries per ms. */
     double trustedRate() {
-        return configuredRate * TRUSTED_RATE_SHARE;
+        return rate.configured() * TRUSTED_RATE_SHARE;
     }
 
     /** Returns the measured rate at which the channel drains, entries per ms. */
     double measuredRate() {
-        return measuredRate;
+        return rate.measured();
     }
 
     /** Returns the cost of a message beyond its updates, acknowledgement request included. */
@@ -154,13 +151,18 @@
 
     /** Returns the longest time that a message takes to reach a proxy and be applied, ms. */
     double maxTransitTime() {
-        return maxTransitTime;
+        return removals.maxTransitTime();
     }
 
     boolean hasMessageLimit() {
         return messageLimit > 0;
     }
 
+    /** Returns whether removals wait for others to share messages, see {@link MessagePacing}. */
+    boolean hasPacedRemovals() {
+        return hasMessageLimit() && removals.hasGrace();
+    }
+
     /**
      * Returns the interval between two messages to a proxy if ordinary messages are spread evenly
      * over the span, ms; 0 if there is no limit.
@@ -227,37 +229,46 @@
         double overdueTime =
                 time.now()
                         - lastAcknowledgementTime
-                        - maxTransitTime
+                        - removals.maxTransitTime()
                         - EventTime.UPDATE_INTERVAL_MS;
         double silence = Math.max(0, overdueTime);
         return Math.max(
                 0,
-                bookedEntries - deliveredEntries - silence * configuredRate * TRUSTED_RATE_SHARE);
+                bookedEntries
+                        - deliveredEntries
+                        - silence * rate.configured() * TRUSTED_RATE_SHARE);
     }
 
     /** Returns the largest number of queued entries for updates that are not mandatory. */
     double discretionaryQueueLimit() {
-        return Math.min(DISCRETIONARY_QUEUE_SHARE * queueLimit, MAX_QUEUE_TIME_MS * measuredRate);
-    }
-
-    /** Measures the rate at which the channel drains, once in each periodic update. */
-    void measureRate() {
-        double interval = EventTime.UPDATE_INTERVAL_MS;
-        double drainedPerMs =
-                (queuedAtUpdate + bookedEntries - bookedAtUpdate - queuedEntries()) / interval;
-        boolean canHaveBeenEmpty = queuedAtUpdate < interval * measuredRate;
-        if (canHaveBeenEmpty) {
-            measuredRate = Math.min(configuredRate, RATE_RECOVERY_FACTOR * measuredRate);
-        } else {
-            double averaged = (measuredRate + Math.min(configuredRate, drainedPerMs)) / 2;
-            measuredRate = Math.max(MIN_RATE_SHARE * configuredRate, averaged);
-        }
-        queuedAtUpdate = queuedEntries();
-        bookedAtUpdate = bookedEntries;
+        return Math.min(
+                DISCRETIONARY_QUEUE_SHARE * queueLimit, MAX_QUEUE_TIME_MS * rate.measured());
+    }
+
+    /**
+     * Measures the rate at which the channel drains, once in each periodic update.
+     *
+     * @param proxies number of joined proxies
+     */
+    void measureRate(int proxies) {
+        rate.measure(queuedEntries(), bookedEntries);
+        removals.updateRemovalWait(proxies * (totalMessageOverhead() + 1), rate.measured());
     }
 
     /** Returns whether updates with the given number of entries to each of the proxies fit. */
     boolean hasRoom(Collection<Proxy> proxies, int entries, ChannelPriority priority) {
+        boolean fits =
+                hasQueueRoom(proxies, entries, priority)
+                        && (priority == ChannelPriority.MANDATORY
+                                || removals.keepsRemovalsInTime(
+                                        cost(proxies, entries), rate.measured()));
+        for (Proxy proxy : proxies) {
+            fits &= pacing.allows(proxy, priority);
+        }
+        return fits;
+    }
+
+    boolean hasQueueRoom(Collection<Proxy> proxies, int entries, ChannelPriority priority) {
         if (queuedEntries() == 0) {
             // while nothing is queued, no acknowledgement is missing
             deliveredEntries = bookedEntries;
@@ -267,22 +278,14 @@
                 priority == ChannelPriority.MANDATORY
                         ? queueLimit
                         : priority.share() * discretionaryQueueLimit();
-        boolean fits = queuedEntries() + cost(proxies, entries) <= limit;
-        double spanStart =
-                time.now()
-                        - messageSpan
-                        - EventTime.UPDATE_INTERVAL_MS * MESSAGE_SPAN_MARGIN_INTERVALS;
-        for (Proxy proxy : proxies) {
-            proxy.forgetMessagesBefore(spanStart);
-            fits &= hasRoomForMessage(proxy, priority);
-        }
-        return fits;
+        double spanStart = time.now() - countedSpan();
+        proxies.forEach(proxy -> proxy.forgetMessagesBefore(spanStart));
+        return queuedEntries() + cost(proxies, entries) <= limit;
     }
 
-    private boolean hasRoomForMessage(Proxy proxy, ChannelPriority priority) {
-        return messageLimit == 0
-                || proxy.hasMessageAt(time.now())
-                || proxy.recentMessages() + 1 <= priority.share() * messageLimit;
+    /** Returns the period for which a message is counted, ms. */
+    private double countedSpan() {
+        return messageSpan + EventTime.UPDATE_INTERVAL_MS * MESSAGE_SPAN_MARGIN_INTERVALS;
     }
 
     /**
@@ -299,6 +302,42 @@
         if (!hasRoom(proxies, entries, priority)) {
             return false;
         }
+        bookMessages(proxies, entries, purpose);
+        return true;
+    }
+
+    /**
+     * Books the removal of one entry at each of the proxies. The removal waits for others that can
+     * share its message if the messages to the proxies are limited, see {@link MessagePacing}.
+     *
+     * @param removedAt time since when the oldest removal that waits is required
+     * @param waiting number of removals that wait and can share the message
+     * @return whether the removal fits now; nothing is booked if it does not
+     */
+    boolean bookRemoval(Collection<Proxy> proxies, double removedAt, int waiting, Purpose purpose) {
+        boolean fits =
+                hasQueueRoom(proxies, 1, ChannelPriority.MANDATORY)
+                        && allowsRemoval(proxies, removedAt, waiting);
+        if (fits && !proxies.isEmpty()) {
+            bookMessages(proxies, 1, purpose);
+            removals.removalBooked(proxies, removedAt);
+        }
+        return fits;
+    }
+
+    /**
+     * Returns whether the proxies may be sent messages with removals now, as far as the limit of
+     * messages is concerned.
+     *
+     * @param removedAt time since when the oldest removal that waits is required; infinite if the
+     *     updates that wait have no deadline
+     * @param waiting number of updates that wait and can share the message
+     */
+    boolean allowsRemoval(Collection<Proxy> proxies, double removedAt, int waiting) {
+        return removals.allows(proxies, removedAt, cost(proxies, waiting), rate.measured());
+    }
+
+    private void bookMessages(Collection<Proxy> proxies, int entries, Purpose purpose) {
         double now = time.now();
         if (lastBatchTime != now) {
             bookedBeforeBatch = bookedEntries;
@@ -306,6 +345,7 @@
         }
         lastBatchTime = now;
         double cost = cost(proxies, entries);
+        removals.booked(cost, rate.measured());
         proxies.forEach(
                 proxy -> batchEntriesByProxy.merge(proxy.id, cost(proxy, entries), Double::sum));
         bookedEntries += cost;
@@ -313,7 +353,6 @@
         proxies.stream()
                 .filter(proxy -> !proxy.hasMessageAt(now))
                 .forEach(proxy -> proxy.messageSent(now));
-        return true;
     }
 
     private double cost(Collection<Proxy> proxies, int entries) {
--- a/src/main/java/sprucelanding/control/decision/EjectionQueue.java
+++ b/src/main/java/sprucelanding/control/decision/EjectionQueue.java
@@ -93,7 +93,7 @@
         isWaitingForRoom = false;
         boolean startsNewRound = lastRoundTime < time.now();
         double sinceLastRound = time.now() - lastRoundTime;
-        if (startsNewRound && sinceLastRound < ROUND_INTERVAL_MS) {
+        if (startsNewRound && !channel.hasPacedRemovals() && sinceLastRound < ROUND_INTERVAL_MS) {
             return false;
         }
         List<Proxy> unbound = unboundProxies();
@@ -112,8 +112,7 @@
             return false;
         }
         isWaitingForRoom = startsNewRound && !hasRoomForRound(receivers);
-        if (isWaitingForRoom
-                || !channel.book(receivers, 1, ChannelPriority.MANDATORY, Purpose.EJECTION)) {
+        if (isWaitingForRoom || !book(endpoint, receivers)) {
             return false;
         }
         send(endpoint, output);
@@ -188,15 +187,34 @@
 
     /**
      * Returns whether a new round must wait, so that ejections alone do not use up the message
-     * limit of a proxy. When a proxy is near the limit, rounds are spread evenly over time.
+     * limit of a proxy. Where no grace is known, rounds are spread evenly over time when a proxy is
+     * near the limit.
      */
     private boolean mustSaveMessages(Collection<Proxy> receivers, double sinceLastRound) {
+        if (channel.hasPacedRemovals()) {
+            return !channel.allowsRemoval(receivers, oldestRemoval(), pending.size());
+        }
         boolean isAnyNearLimit = receivers.stream().anyMatch(channel::isMessageLimitNear);
         return channel.hasMessageLimit()
                 && isAnyNearLimit
                 && sinceLastRound < channel.messageInterval();
     }
 
+    private boolean book(Endpoint endpoint, Collection<Proxy> receivers) {
+        return channel.hasPacedRemovals() && !endpoint.isAvailable()
+                ? channel.bookRemoval(receivers, oldestRemoval(), pending.size(), Purpose.EJECTION)
+                : channel.book(receivers, 1, ChannelPriority.MANDATORY, Purpose.EJECTION);
+    }
+
+    /** Returns the time since when the oldest ejection that is not a repetition is required, ms. */
+    private double oldestRemoval() {
+        return pending.stream()
+                .filter(endpoint -> !endpoint.isAvailable() && !repeated.contains(endpoint))
+                .mapToDouble(Endpoint::removedAt)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     /**
      * Returns whether the channel has capacity for a round, which sends several ejections in one
      * message.
@@ -208,7 +226,10 @@
                                 / Math.max(1, receivers.size())
                         - channel.totalMessageOverhead();
         int roundSize = (int) Math.min(pending.size(), entriesPerProxy);
-        return channel.hasRoom(receivers, Math.max(1, roundSize), ChannelPriority.MANDATORY);
+        int entries = Math.max(1, roundSize);
+        return channel.hasPacedRemovals()
+                ? channel.hasQueueRoom(receivers, entries, ChannelPriority.MANDATORY)
+                : channel.hasRoom(receivers, entries, ChannelPriority.MANDATORY);
     }
 
     private void send(Endpoint endpoint, ControllerOutput output) {
--- a/src/main/java/sprucelanding/control/decision/HealthCheckScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/HealthCheckScheduler.java
@@ -10,7 +10,7 @@
  */
 final class HealthCheckScheduler {
     /** Tag of the timer for the next scheduled check or poll. */
-    static final int TIMER_TAG = 2;
+    private static final int TIMER_TAG = 2;
 
     /** Minimum interval between two regular health checks of an endpoint. */
     static final double CHECK_INTERVAL_MS = 1000;
@@ -110,8 +110,8 @@
         scheduled.add(new ScheduledCheck(dueAt, nextSequence++, endpoint));
     }
 
-    void timerFired() {
-        timerAt = Double.POSITIVE_INFINITY;
+    void timerFired(int tag) {
+        timerAt = tag == TIMER_TAG ? Double.POSITIVE_INFINITY : timerAt;
     }
 
     /** Requests the next due check or list poll from the host; returns false if none is due. */
--- a/src/main/java/sprucelanding/control/decision/Proxy.java
+++ b/src/main/java/sprucelanding/control/decision/Proxy.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 
 /**
@@ -163,6 +164,23 @@
         return messageTimes.size();
     }
 
+    /**
+     * Returns the time of one of the last messages, ms; {@link EventTime#NEVER} if there were not
+     * so many.
+     *
+     * @param newest 1 for the newest message, 2 for the one before, and so on
+     */
+    double messageTime(int newest) {
+        if (newest > messageTimes.size()) {
+            return EventTime.NEVER;
+        }
+        Iterator<Double> times = messageTimes.descendingIterator();
+        for (int skipped = 1; skipped < newest; skipped++) {
+            times.next();
+        }
+        return times.next();
+    }
+
     void messageSent(double now) {
         messageTimes.addLast(now);
     }
--- a/src/main/java/sprucelanding/control/decision/RoutingController.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingController.java
@@ -23,8 +23,8 @@
  *   <li>{@link OutputScheduler}: choice of the next order; uses the other schedulers
  * </ul>
  *
- * <p>Instances share no state. The same events lead to the same orders. Instances are not
- * thread-safe; all calls must come from one thread. Times are ms on the host's clock.
+ * <p>Instances share no state and are not thread-safe. The same events lead to the same orders.
+ * Times are ms on the host's clock.
  */
 public final class RoutingController {
     /** Tag of the timer for the periodic update. */
@@ -36,6 +36,8 @@
     private final ChannelBudget channel = new ChannelBudget(time);
     private final DrainTracker drains = new DrainTracker(Double.POSITIVE_INFINITY);
     private final ProxyRegistry proxies = new ProxyRegistry();
+    private final AcknowledgementRequester acknowledgements =
+            new AcknowledgementRequester(time, proxies, channel);
     private final JoinForecast joins = new JoinForecast(time, proxies);
     private final SlowStart slowStart = new SlowStart(time);
     private final SpeedPrior speedPrior = new SpeedPrior();
@@ -153,7 +155,7 @@
     }
 
     /**
-     * Configures the fleet. Must be called after {@link #configureChannel} and before any event.
+     * Configures the fleet, after {@link #configureChannel} and before any event.
      *
      * @param fleetProxies number of proxies of all governors; 0 if unknown
      * @param governors number of governors
@@ -164,7 +166,7 @@
     public void configureFleet(
             int fleetProxies, int governors, double drainGraceMs, double maxTransitTimeMs) {
         double grace = drainGraceMs > 0 ? drainGraceMs : Double.POSITIVE_INFINITY;
-        channel.setMaxTransitTime(maxTransitTimeMs);
+        channel.removals().configure(maxTransitTimeMs, grace);
         drains.setGrace(grace);
         scheduler.configure(grace);
         joins.configure(fleetProxies, governors);
@@ -196,9 +198,8 @@
     /** Processes the expiry of the timer with the given tag. */
     public void timerFired(int tag) {
         updateDue |= tag == UPDATE_TIMER_TAG;
-        if (tag == HealthCheckScheduler.TIMER_TAG) {
-            healthChecks.timerFired();
-        }
+        healthChecks.timerFired(tag);
+        channel.pacing().timerFired(tag);
     }
 
     /**
@@ -375,18 +376,9 @@
             return true;
         }
         canStartOrdinaryMessages = false;
-        return requestAcknowledgement(output) || healthChecks.setTimer(output);
-    }
-
-    /** Requests the acknowledgements that show how much the channel has delivered. */
-    private boolean requestAcknowledgement(ControllerOutput output) {
-        if (!channel.hasOpenBatch()) {
-            return false;
-        }
-        double messageCount =
-                SequentialSum.of(proxies.all(), proxy -> proxy.hasMessageAt(time.now()) ? 1 : 0);
-        output.requestAcknowledgement(channel.closeBatch(messageCount));
-        return true;
+        return acknowledgements.requestNext(output)
+                || healthChecks.setTimer(output)
+                || channel.pacing().setTimer(output);
     }
 
     private void endpointUpdated(Endpoint endpoint) {
--- a/src/main/java/sprucelanding/control/decision/StateUpdater.java
+++ b/src/main/java/sprucelanding/control/decision/StateUpdater.java
@@ -108,7 +108,7 @@
         }
         drainReporter.report();
         scheduler.releaseStarterTables();
-        channel.measureRate();
+        channel.measureRate(proxies.size());
 
         List<Endpoint> available = endpoints.available();
         LoadSummary summary = loads.update(available, admission.isOverloaded());
--- a/src/main/java/sprucelanding/control/decision/WeightUpdateScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/WeightUpdateScheduler.java
@@ -150,7 +150,22 @@
         return 2 * table.sentWeight() < table.targetWeight();
     }
 
-    private static ChannelPriority priority(TableEntry entry) {
+    /** Returns whether the entry is a removal that no ejection has settled since the ranking. */
+    private boolean isRequiredRemoval(TableEntry entry) {
+        return entry.rank() >= RANK_REMOVAL && !isSettledByEjection(entry);
+    }
+
+    private boolean isSettledByEjection(TableEntry entry) {
+        Endpoint endpoint = entry.endpoint();
+        return channel.hasPacedRemovals()
+                && !endpoint.isAvailable()
+                && endpoint.isEjectedFromAllTables();
+    }
+
+    private ChannelPriority priority(TableEntry entry) {
+        if (isSettledByEjection(entry)) {
+            return ChannelPriority.ORDINARY;
+        }
         if (entry.rank() < RANK_EJECTION) {
             return ChannelPriority.ORDINARY;
         }
@@ -163,16 +178,31 @@
     /** Books a weight change if the pause since the last one is long enough and the change fits. */
     private boolean book(TableEntry entry, boolean isOrdinaryAllowed) {
         RoutingTable table = entry.table();
+        if (channel.hasPacedRemovals() && isRequiredRemoval(entry)) {
+            return bookRemoval(table);
+        }
         ChannelPriority priority = priority(entry);
         boolean isMandatory = priority == ChannelPriority.MANDATORY;
         double pause =
-                isMandatory ? removalPause(entry) : minPause(table, priority, isOrdinaryAllowed);
+                isMandatory ? removalPause(table) : minPause(table, priority, isOrdinaryAllowed);
         double last = table.isFull() ? lastEntryTime : table.lastEntryTime();
         return time.now() - last >= pause
                 && channel.book(
                         table.users(), 1, priority, isMandatory ? Purpose.REMOVAL : Purpose.WEIGHT);
     }
 
+    private boolean bookRemoval(RoutingTable table) {
+        double oldest = Double.POSITIVE_INFINITY;
+        int waiting = 0;
+        for (TableEntry entry : pending) {
+            if (entry.table() == table && isRequiredRemoval(entry)) {
+                oldest = Math.min(oldest, entry.endpoint().removedAt());
+                waiting++;
+            }
+        }
+        return channel.bookRemoval(table.users(), oldest, waiting, Purpose.REMOVAL);
+    }
+
     /**
      * Returns the shortest pause after the last weight change, ms. Without a pause, the overhead of
      * the messages alone would fill the channel. If messages to a proxy are limited, ordinary
@@ -201,22 +231,18 @@
     }
 
     /**
-     * Returns the time that a removal waits for further removals to share its message, ms. Removals
-     * normally do not wait. If the messages to a proxy are limited and nearly used up, however,
-     * single removals would use up the last messages before the next removal is due.
+     * Returns the time that a removal waits for further removals to share its message if no grace
+     * is known, ms. It waits only if the messages to a proxy are nearly used up.
      */
-    private double removalPause(TableEntry entry) {
+    private double removalPause(RoutingTable table) {
         boolean isMessageLimitNear =
                 channel.hasMessageLimit()
-                        && entry.table().users().stream()
+                        && table.users().stream()
                                 .anyMatch(
                                         proxy ->
                                                 !proxy.hasMessageAt(time.now())
                                                         && channel.isMessageLimitNear(proxy));
-        double interval = channel.messageInterval();
-        double latestWaitTime =
-                entry.endpoint().removedAt() + drainGrace - channel.maxTransitTime() - 2 * interval;
-        return isMessageLimitNear && latestWaitTime > time.now() ? interval : 0;
+        return isMessageLimitNear ? channel.messageInterval() : 0;
     }
 
     /** Returns whether an entry must let binds with an earlier deadline go first. */
