Tables of endpoints that are warming up admit no more than these can serve

Cause: weights only divide the requests of a table. The share of a cold endpoint was kept among the entries of its table, never against the requests that the table gets. Levels follow the mean load of the fleet, after reports have shown it.

Change: TableLoadEstimator keeps, for each full table, the load of its requests, also while the table is empty. WarmUpLimiter spreads it over the entries as sent; where an endpoint that is warming up would get more than halfway from its capacity to the load at which it falls over (contract.tipMultiple), the table admits what it can serve. The level is ordered after all other changes of the event, hence in the message with the entry.

Why it works: the load covers the requests of all governors and follows the demand that proxies report, so that it holds for other fleets, shares of governors and demand that rose during the outage.

Open: sites whose proxies ignore levels.

--- a/src/main/java/sprucelanding/control/decision/AdmissionController.java
+++ b/src/main/java/sprucelanding/control/decision/AdmissionController.java
@@ -166,14 +166,17 @@
      * Returns the rate per proxy that admits the given share of the request class in total. Proxies
      * whose demand is below the rate are not limited.
      */
-    private static double ratePerProxy(
-            RequestClass requestClass, double share, Collection<Proxy> proxies) {
+    static double ratePerProxy(RequestClass requestClass, double share, Collection<Proxy> proxies) {
         double[] demands =
                 proxies.stream()
                         .mapToDouble(proxy -> proxy.demand(requestClass.index))
                         .sorted()
                         .toArray();
-        double remainingDemand = share * requestClass.demand();
+        double remainingDemand =
+                share
+                        * proxies.stream()
+                                .mapToDouble(proxy -> proxy.demand(requestClass.index))
+                                .sum();
         int unlimitedProxies = 0;
         while (unlimitedProxies < demands.length
                 && demands[unlimitedProxies] * (demands.length - unlimitedProxies)
--- a/src/main/java/sprucelanding/control/decision/AdmissionScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/AdmissionScheduler.java
@@ -26,26 +26,52 @@
     private final AdmissionController admission;
     private final LoadEstimator loads;
     private final BindScheduler binds;
+    private final WarmUpLimiter warmUpLimiter;
 
-    AdmissionScheduler(
-            EventTime time,
-            AdmissionMode mode,
-            RequestClass[] requestClasses,
-            RoutingTables tables,
-            ProxyRegistry proxies,
-            ChannelBudget channel,
-            AdmissionController admission,
-            LoadEstimator loads,
-            BindScheduler binds) {
-        this.time = time;
+    AdmissionScheduler(ControllerState state, AdmissionMode mode, BindScheduler binds) {
         this.mode = mode;
-        this.requestClasses = requestClasses;
-        this.tables = tables;
-        this.proxies = proxies;
-        this.channel = channel;
-        this.admission = admission;
-        this.loads = loads;
         this.binds = binds;
+        time = state.time();
+        requestClasses = state.requestClasses();
+        tables = state.tables();
+        proxies = state.proxies();
+        channel = state.channel();
+        admission = state.admission();
+        loads = state.loads();
+        warmUpLimiter = state.warmUpLimiter();
+    }
+
+    /**
+     * Orders the next admission level of a table that would overload an endpoint which is warming
+     * up. The order belongs to the same message as the change of the table that makes it necessary.
+     *
+     * @return whether an order was given; false if none is needed or it does not fit the channel
+     */
+    boolean sendNextReduction(ControllerOutput output) {
+        if (!warmUpLimiter.isLimiting()) {
+            return false;
+        }
+        for (RoutingTable table : tables.all()) {
+            for (int index : classesOf(table)) {
+                if (exceedsLimit(table, index)
+                        && channel.book(
+                                table.users(), 1, ChannelPriority.MANDATORY, Purpose.ADMISSION)) {
+                    send(table, index, retryPolicy(), output);
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether the table admits more than the endpoints that are warming up can serve. */
+    private boolean exceedsLimit(RoutingTable table, int index) {
+        if (table.users().isEmpty() || warmUpLimiter.limit(table) >= 1) {
+            return false;
+        }
+        double admitted = admitted(table, requestClasses[index]);
+        return !table.hasSentAdmission(index)
+                || admitted < (1 - MIN_RELATIVE_CHANGE) * table.sentAdmission(index);
     }
 
     /**
@@ -96,7 +122,7 @@
     }
 
     private boolean hasChanged(RoutingTable table, int index, int retryPolicy) {
-        double admitted = admitted(requestClasses[index]);
+        double admitted = admitted(table, requestClasses[index]);
         double sent = table.sentAdmission(index);
         return retryPolicy != table.sentRetryPolicy(index)
                 || Math.abs(admitted - sent) >= MIN_RELATIVE_CHANGE * Math.max(admitted, sent);
@@ -124,7 +150,7 @@
     }
 
     private void send(RoutingTable table, int index, int retryPolicy, ControllerOutput output) {
-        double admitted = admitted(requestClasses[index]);
+        double admitted = admitted(table, requestClasses[index]);
         table.admissionSent(index, admitted, retryPolicy, time.now());
         output.setAdmission(table.number(), requestClasses[index], admitted, retryPolicy);
     }
@@ -145,9 +171,14 @@
     }
 
     /** Returns the admission level that the host is sent: a share or a rate. */
-    private double admitted(RequestClass requestClass) {
+    private double admitted(RoutingTable table, RequestClass requestClass) {
+        double limit = warmUpLimiter.limit(table);
+        double share = limit * requestClass.admittedShare();
         if (mode != AdmissionMode.RATE) {
-            return requestClass.admittedShare();
+            return share;
+        }
+        if (limit < 1) {
+            return AdmissionController.ratePerProxy(requestClass, share, table.users());
         }
         return requestClass.admittedShare() < 1
                 ? requestClass.admittedRate()
--- a/src/main/java/sprucelanding/control/decision/BindScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/BindScheduler.java
@@ -66,30 +66,19 @@
     private int bindsSent;
 
     BindScheduler(
-            EventTime time,
-            ProxyRegistry proxies,
-            RoutingTables tables,
-            ChannelBudget channel,
-            DrainTracker drains,
-            JoinForecast joins,
-            WeightPolicy weights,
-            AdmissionController admission,
-            StarterTables starterTables,
-            EndpointRegistry endpoints,
-            RestorationScheduler restorations,
-            int requestClassCount) {
-        this.time = time;
-        this.proxies = proxies;
-        this.tables = tables;
-        this.channel = channel;
-        this.drains = drains;
-        this.joins = joins;
-        this.weights = weights;
-        this.admission = admission;
+            ControllerState state, StarterTables starterTables, RestorationScheduler restorations) {
+        time = state.time();
+        proxies = state.proxies();
+        tables = state.tables();
+        channel = state.channel();
+        drains = state.drains();
+        joins = state.joins();
+        weights = state.weights();
+        admission = state.admission();
+        endpoints = state.endpoints();
         this.starterTables = starterTables;
-        this.endpoints = endpoints;
         this.restorations = restorations;
-        this.requestClassCount = requestClassCount;
+        requestClassCount = state.requestClasses().length;
     }
 
     /** Sets the time within which proxies must stop sending to a removed endpoint, ms. */
--- a/src/main/java/sprucelanding/control/decision/EjectionQueue.java
+++ b/src/main/java/sprucelanding/control/decision/EjectionQueue.java
@@ -40,21 +40,13 @@
     private boolean isWaitingForRoom;
     private double lastRoundTime = EventTime.NEVER;
 
-    EjectionQueue(
-            EventTime time,
-            ProxyRegistry proxies,
-            RoutingTables tables,
-            ChannelBudget channel,
-            DrainTracker drains,
-            JoinForecast joins,
-            BindScheduler binds,
-            RestorationScheduler restorations) {
-        this.time = time;
-        this.proxies = proxies;
-        this.tables = tables;
-        this.channel = channel;
-        this.drains = drains;
-        this.joins = joins;
+    EjectionQueue(ControllerState state, BindScheduler binds, RestorationScheduler restorations) {
+        time = state.time();
+        proxies = state.proxies();
+        tables = state.tables();
+        channel = state.channel();
+        drains = state.drains();
+        joins = state.joins();
         this.binds = binds;
         this.restorations = restorations;
     }
--- a/src/main/java/sprucelanding/control/decision/LoadEstimator.java
+++ b/src/main/java/sprucelanding/control/decision/LoadEstimator.java
@@ -135,7 +135,8 @@
         endpoint.stats().newProcessStarted(onFirstList ? 0 : time.now() + 2 * reportIntervalMs);
     }
 
-    private boolean hasFreshReport(Endpoint endpoint) {
+    /** Returns whether the load of the endpoint was reported recently. */
+    boolean hasFreshReport(Endpoint endpoint) {
         return time.now() - endpoint.stats().lastLoadReportAt() < maxReportAgeMs;
     }
 
--- a/src/main/java/sprucelanding/control/decision/OutputScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/OutputScheduler.java
@@ -22,86 +22,33 @@
     private final StarterTableScheduler starterTableUpdates;
     private final UnusedTableCleaner unusedTables;
     private final OrderLimit orderLimit;
-
-    OutputScheduler(
-            EventTime time,
-            DecisionLog log,
-            SplittableRandom random,
-            RequestClass[] requestClasses,
-            AdmissionMode admissionMode,
-            EndpointRegistry endpoints,
-            ProxyRegistry proxies,
-            RoutingTables tables,
-            ChannelBudget channel,
-            DrainTracker drains,
-            JoinForecast joins,
-            SlowStart slowStart,
-            LoadEstimator loads,
-            WeightPolicy weights,
-            AdmissionController admission,
-            HealthCheckScheduler healthChecks) {
-        this.admission = admission;
-        this.healthChecks = healthChecks;
-        this.endpoints = endpoints;
-        orderLimit = new OrderLimit(log, endpoints, proxies, tables, requestClasses.length);
-        restorations = new RestorationScheduler(time, tables, channel);
-        starterTables = new StarterTables(tables, random);
-        binds =
-                createBinds(
-                        time,
-                        proxies,
+    private final WarmUpLimiter warmUpLimiter;
+
+    OutputScheduler(ControllerState state, SplittableRandom random, AdmissionMode admissionMode) {
+        admission = state.admission();
+        healthChecks = state.healthChecks();
+        warmUpLimiter = state.warmUpLimiter();
+        endpoints = state.endpoints();
+        RoutingTables tables = state.tables();
+        orderLimit =
+                new OrderLimit(
+                        state.log(),
+                        endpoints,
+                        state.proxies(),
                         tables,
-                        channel,
-                        drains,
-                        joins,
-                        weights,
-                        requestClasses.length);
-        ejections =
-                new EjectionQueue(
-                        time, proxies, tables, channel, drains, joins, binds, restorations);
-        weightUpdates =
-                new WeightUpdateScheduler(
-                        time, tables, proxies, channel, drains, weights, slowStart, admission,
-                        binds);
-        admissions =
-                new AdmissionScheduler(
-                        time,
-                        admissionMode,
-                        requestClasses,
-                        tables,
-                        proxies,
-                        channel,
-                        admission,
-                        loads,
-                        binds);
+                        state.requestClasses().length);
+        restorations = new RestorationScheduler(state.time(), tables, state.channel());
+        starterTables = new StarterTables(tables, random);
+        binds = new BindScheduler(state, starterTables, restorations);
+        ejections = new EjectionQueue(state, binds, restorations);
+        weightUpdates = new WeightUpdateScheduler(state, binds);
+        admissions = new AdmissionScheduler(state, admissionMode, binds);
         starterTableUpdates =
-                new StarterTableScheduler(random, tables, starterTables, weights, admissions);
+                new StarterTableScheduler(
+                        random, tables, starterTables, state.weights(), admissions);
         unusedTables =
-                new UnusedTableCleaner(tables, starterTables, channel, weightUpdates::invalidate);
-    }
-
-    private BindScheduler createBinds(
-            EventTime time,
-            ProxyRegistry proxies,
-            RoutingTables tables,
-            ChannelBudget channel,
-            DrainTracker drains,
-            JoinForecast joins,
-            WeightPolicy weights,
-            int requestClassCount) {
-        return new BindScheduler(
-                time,
-                proxies,
-                tables,
-                channel,
-                drains,
-                joins,
-                weights,
-                admission,
-                starterTables,
-                endpoints,
-                restorations,
-                requestClassCount);
+                new UnusedTableCleaner(
+                        tables, starterTables, state.channel(), weightUpdates::invalidate);
     }
 
     /** Sets the time within which proxies must stop sending to a removed endpoint, ms. */
@@ -113,6 +60,7 @@
     /** Begins the orders for the next event. */
     void eventStarted() {
         orderLimit.eventStarted();
+        warmUpLimiter.invalidate();
     }
 
     /** Discards the ranking of the entries because weights have changed. */
@@ -200,6 +148,7 @@
                 orderLimit.allowsOrder() && sendMostUrgent(output, known, isOrdinaryAllowed);
         if (isGiven) {
             orderLimit.orderGiven();
+            warmUpLimiter.invalidate();
         }
         return isGiven;
     }
@@ -219,6 +168,7 @@
                 || weightUpdates.sendNext(output, isOrdinaryAllowed)
                 || restorations.sendUrgent(output)
                 || binds.sendNext(output)
+                || admissions.sendNextReduction(output)
                 || admissions.sendNext(output, isOrdinaryAllowed)
                 || restorations.sendNext(output, endpoints.available());
     }
--- a/src/main/java/sprucelanding/control/decision/RoutingController.java
+++ b/src/main/java/sprucelanding/control/decision/RoutingController.java
@@ -17,6 +17,7 @@
  *   <li>{@link OutlierDetector}: ejections and restorations
  *   <li>{@link SubsetAllocator}, {@link StarterTables}: tables with few endpoints
  *   <li>{@link AdmissionController}: admission levels
+ *   <li>{@link WarmUpLimiter}, {@link TableLoadEstimator}: limits that protect warming endpoints
  *   <li>{@link DrainTracker}: removals that proxies have not acknowledged yet
  *   <li>{@link ChannelBudget}: capacity of the channel to the proxies
  *   <li>{@link StateUpdater}: update of the state above, in the right order
@@ -45,8 +46,7 @@
     private final RoutingTables tables;
     private final EndpointRegistry endpoints;
     private final HealthCheckScheduler healthChecks;
-    private final AdmissionController admission;
-    private final WeightPolicy weights;
+    private final WarmUpLimiter warmUpLimiter;
     private final SubsetAllocator subsets;
     private final OutputScheduler scheduler;
     private final DrainReporter drainReporter;
@@ -73,15 +73,20 @@
         tables = new RoutingTables(requestClasses, zones);
         endpoints = new EndpointRegistry(time, tables, drains, this::endpointUpdated);
         healthChecks = new HealthCheckScheduler(time, random);
-        admission = new AdmissionController(time, requestClasses);
-        weights = new WeightPolicy(time, slowStart, speedPrior, loads, tables, requestClasses);
+        AdmissionController admission = new AdmissionController(time, requestClasses);
+        warmUpLimiter =
+                new WarmUpLimiter(
+                        time,
+                        tables,
+                        slowStart,
+                        new TableLoadEstimator(tables, slowStart, speedPrior, loads));
+        WeightPolicy weights =
+                new WeightPolicy(time, slowStart, speedPrior, loads, tables, requestClasses);
         subsets =
                 new SubsetAllocator(
                         time, log, random, tables, proxies, loads, weights, this::tablesChanged);
-        scheduler = createScheduler(random, admissionMode);
-        drainReporter = new DrainReporter(time, log, proxies, channel, drains, scheduler);
-        updater =
-                new StateUpdater(
+        ControllerState state =
+                new ControllerState(
                         time,
                         log,
                         requestClasses,
@@ -89,33 +94,17 @@
                         proxies,
                         tables,
                         channel,
-                        healthChecks,
+                        drains,
+                        joins,
+                        slowStart,
                         loads,
                         weights,
                         admission,
-                        subsets,
-                        scheduler,
-                        drainReporter);
-    }
-
-    private OutputScheduler createScheduler(SplittableRandom random, AdmissionMode admissionMode) {
-        return new OutputScheduler(
-                time,
-                log,
-                random,
-                requestClasses,
-                admissionMode,
-                endpoints,
-                proxies,
-                tables,
-                channel,
-                drains,
-                joins,
-                slowStart,
-                loads,
-                weights,
-                admission,
-                healthChecks);
+                        warmUpLimiter,
+                        healthChecks);
+        scheduler = new OutputScheduler(state, random, admissionMode);
+        drainReporter = new DrainReporter(time, log, proxies, channel, drains, scheduler);
+        updater = new StateUpdater(state, subsets, scheduler, drainReporter);
     }
 
     /**
@@ -136,6 +125,17 @@
         }
     }
 
+    /**
+     * Configures the load at which an endpoint falls over during its warm-up.
+     *
+     * @param fallMultiple multiple of the endpoint's present capacity; ignored unless above 1
+     */
+    public void configureWarmUpLimit(double fallMultiple) {
+        if (fallMultiple > 1) {
+            warmUpLimiter.configure(fallMultiple);
+        }
+    }
+
     /**
      * Configures the limits of the channel to the proxies.
      *
--- a/src/main/java/sprucelanding/control/decision/StateUpdater.java
+++ b/src/main/java/sprucelanding/control/decision/StateUpdater.java
@@ -19,40 +19,34 @@
     private final LoadEstimator loads;
     private final WeightPolicy weights;
     private final AdmissionController admission;
+    private final WarmUpLimiter warmUpLimiter;
     private final SubsetAllocator subsets;
     private final OutputScheduler scheduler;
     private final DrainReporter drainReporter;
     private final OutlierDetector outliers;
 
     StateUpdater(
-            EventTime time,
-            DecisionLog log,
-            RequestClass[] requestClasses,
-            EndpointRegistry endpoints,
-            ProxyRegistry proxies,
-            RoutingTables tables,
-            ChannelBudget channel,
-            HealthCheckScheduler healthChecks,
-            LoadEstimator loads,
-            WeightPolicy weights,
-            AdmissionController admission,
+            ControllerState state,
             SubsetAllocator subsets,
             OutputScheduler scheduler,
             DrainReporter drainReporter) {
-        this.log = log;
-        this.requestClasses = requestClasses;
-        this.endpoints = endpoints;
-        this.proxies = proxies;
-        this.tables = tables;
-        this.channel = channel;
-        this.healthChecks = healthChecks;
-        this.loads = loads;
-        this.weights = weights;
-        this.admission = admission;
+        log = state.log();
+        requestClasses = state.requestClasses();
+        endpoints = state.endpoints();
+        proxies = state.proxies();
+        tables = state.tables();
+        channel = state.channel();
+        healthChecks = state.healthChecks();
+        loads = state.loads();
+        weights = state.weights();
+        admission = state.admission();
+        warmUpLimiter = state.warmUpLimiter();
         this.subsets = subsets;
         this.scheduler = scheduler;
         this.drainReporter = drainReporter;
-        outliers = new OutlierDetector(time, log, tables, loads, weights, admission, healthChecks);
+        outliers =
+                new OutlierDetector(
+                        state.time(), log, tables, loads, weights, admission, healthChecks);
     }
 
     /**
@@ -117,6 +111,7 @@
         admission
                 .update(proxies.all(), summary.load(), summary.responseTime(), loads.failureShare())
                 .ifPresent(log::add);
+        warmUpLimiter.updateTableLoads(admission.isOverloaded());
         weights.decideWithholding(available, proxies);
         ejectUnresponsive();
         subsets.resize(available, summary.load(), admission.isOverloaded());
--- a/src/main/java/sprucelanding/control/decision/WeightUpdateScheduler.java
+++ b/src/main/java/sprucelanding/control/decision/WeightUpdateScheduler.java
@@ -48,24 +48,15 @@
     /** Time at which an entry of any table with users was last sent, ms. */
     private double lastEntryTime = EventTime.NEVER;
 
-    WeightUpdateScheduler(
-            EventTime time,
-            RoutingTables tables,
-            ProxyRegistry proxies,
-            ChannelBudget channel,
-            DrainTracker drains,
-            WeightPolicy weights,
-            SlowStart slowStart,
-            AdmissionController admission,
-            BindScheduler binds) {
-        this.time = time;
-        this.tables = tables;
-        this.proxies = proxies;
-        this.channel = channel;
-        this.drains = drains;
-        this.weights = weights;
-        this.slowStart = slowStart;
-        this.admission = admission;
+    WeightUpdateScheduler(ControllerState state, BindScheduler binds) {
+        time = state.time();
+        tables = state.tables();
+        proxies = state.proxies();
+        channel = state.channel();
+        drains = state.drains();
+        weights = state.weights();
+        slowStart = state.slowStart();
+        admission = state.admission();
         this.binds = binds;
     }
 
--- a/src/main/java/sprucelanding/control/settings/SettingsKeys.java
+++ b/src/main/java/sprucelanding/control/settings/SettingsKeys.java
@@ -35,6 +35,7 @@
     static final String SOFT_REMOVAL = "softRemoval";
     static final String INITIAL_CAPACITY_SHARE = "coldFrom";
     static final String WARM_UP_TIME = "warmAfterUs";
+    static final String FALL_MULTIPLE = "tipMultiple";
     static final String DRAIN_GRACE = "drainGraceUs";
 
     /** The section on limits. */
--- a/src/main/java/sprucelanding/control/settings/SettingsReader.java
+++ b/src/main/java/sprucelanding/control/settings/SettingsReader.java
@@ -145,6 +145,7 @@
                 contract.getBoolean(SettingsKeys.SOFT_REMOVAL, false),
                 contract.getDouble(SettingsKeys.INITIAL_CAPACITY_SHARE, 0.1),
                 millis(contract, SettingsKeys.WARM_UP_TIME, 0));
+        controller.configureWarmUpLimit(contract.getDouble(SettingsKeys.FALL_MULTIPLE, 0));
     }
 
     private static void configureChannel(RoutingController controller, JsonObject fleet) {
