An older list no longer undoes the draining or the end of an endpoint

Cause: EndpointDirectory.applyList applied every list, whatever its revision. Evidence: rev=42 ready=12, then rev=41 whole=true ready=15, and a message that adds the three; without SIGHUP no list of a lower revision comes.

Change: an entry is withheld if it shows an earlier state of the same process than a list of a higher revision has told. A later start, an end and the absence from a whole list apply whatever the revision, so that no end is missed when discovery begins anew with low revisions. After 10 s of such lists the whole list is requested again and applied in full.

Why it works: a list that is behind can only show what was known before, so what it can undo is an end; each end is known with the revision that told it and the start of its process.

Tests: EndpointDirectoryTest, four new ones; three fail on the code before (AVAILABLE in place of DRAINING or GONE), the fourth guards against withholding too much.

--- a/src/main/java/sprucelanding/runtime/server/ControllerHost.java
+++ b/src/main/java/sprucelanding/runtime/server/ControllerHost.java
@@ -101,6 +101,12 @@
         boolean complete =
                 endpoints.applyList(list, origin, clock.nowMillis(), scheduler.beginInput());
         logList(list);
+        if (endpoints.withheldCount() > 0) {
+            eventLog.log(
+                    new LogLine(ServerEvent.DISCOVERY_LIST_OUTDATED)
+                            .with("rev", endpoints.revision())
+                            .with("withheld", endpoints.withheldCount()));
+        }
         if (endpoints.removeGone(clock.nowMillis(), distributor::hasEntryFor)) {
             distributor.discardEndpoints(endpoint -> endpoints.find(endpoint.id) == null);
         }
@@ -122,6 +128,11 @@
         }
     }
 
+    /** Returns whether entries of the last list have not been applied because it is outdated. */
+    boolean hasWithheldEntries() {
+        return endpoints.withheldCount() > 0;
+    }
+
     /** Returns the revision of the endpoint list; -1 while there is no list. */
     long revision() {
         return endpoints.revision();
--- a/src/main/java/sprucelanding/runtime/server/DiscoveredEndpoint.java
+++ b/src/main/java/sprucelanding/runtime/server/DiscoveredEndpoint.java
@@ -13,6 +13,15 @@
     private double weight = 1;
     private EndpointState state = EndpointState.GONE;
 
+    /** The revision of the list that last changed the state. */
+    private long stateRevision;
+
+    /**
+     * Since when lists of lower revisions have shown an earlier state of the same process, ms of
+     * the controller's clock; infinite if they have not.
+     */
+    private double outdatedSinceMillis = Double.POSITIVE_INFINITY;
+
     /** When the endpoint was listed as gone, ms of the controller's clock; 0 if it is not gone. */
     private double goneAtMillis;
 
@@ -78,8 +87,35 @@
         return state == EndpointState.GONE;
     }
 
-    void setState(EndpointState newState) {
+    /**
+     * Sets the state.
+     *
+     * @param revision the revision of the list that shows the state
+     */
+    void setState(EndpointState newState, long revision) {
+        stateRevision = newState == state ? stateRevision : revision;
         state = newState;
+        outdatedSinceMillis = Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Returns whether a list is behind what is known of this endpoint: it shows an earlier state of
+     * a process that a list of a higher revision has shown as draining or gone.
+     */
+    boolean isAheadOf(EndpointState listed, double listedBootMillis, long revision) {
+        boolean isEarlierState = listed.compareTo(state) < 0;
+        return isEarlierState && listedBootMillis <= bootMillis && revision < stateRevision;
+    }
+
+    /** Notes an outdated entry; returns since when there have been such entries, ms. */
+    double outdatedEntryListed(double nowMillis) {
+        outdatedSinceMillis = Math.min(outdatedSinceMillis, nowMillis);
+        return outdatedSinceMillis;
+    }
+
+    /** Returns whether the last entry was outdated and has not been applied. */
+    boolean isEntryWithheld() {
+        return outdatedSinceMillis < Double.POSITIVE_INFINITY;
     }
 
     double goneAtMillis() {
--- a/src/main/java/sprucelanding/runtime/server/DiscoveryWatch.java
+++ b/src/main/java/sprucelanding/runtime/server/DiscoveryWatch.java
@@ -43,6 +43,14 @@
          */
         boolean onList(JsonObject list);
 
+        /**
+         * Returns whether entries have not been applied because discovery is behind what it told
+         * before. The watch requests the whole list again later.
+         */
+        default boolean hasWithheldEntries() {
+            return false;
+        }
+
         /** Returns the revision to resume from; below 0 to request the whole list. */
         long revision();
     }
@@ -71,6 +79,9 @@
     private WatchConnection currentConnection;
     private EventLoop.Timer timer;
 
+    /** Requests the whole list again because entries were withheld; null if none were. */
+    private EventLoop.Timer recheckTimer;
+
     /** Whether the last list could not be applied, so that the whole list has to be requested. */
     private boolean isFullListNeeded;
 
@@ -122,6 +133,20 @@
                         });
     }
 
+    private void scheduleRecheck() {
+        if (recheckTimer == null && listHandler.hasWithheldEntries()) {
+            recheckTimer = loop.schedule(EndpointDirectory.MAX_DISCOVERY_LAG_MILLIS, this::recheck);
+        }
+    }
+
+    private void recheck() {
+        recheckTimer = null;
+        if (listHandler.hasWithheldEntries()) {
+            isFullListNeeded = true;
+            reconnect();
+        }
+    }
+
     private void setWatching(boolean nowWatching, String reason) {
         if (isWatching != nowWatching) {
             isWatching = nowWatching;
@@ -206,6 +231,7 @@
             try {
                 if (listHandler.onList(Json.parse(text).asObject())) {
                     isFullListNeeded = false;
+                    scheduleRecheck();
                     return;
                 }
                 eventLog.log(ServerEvent.DISCOVERY_LIST_INCOMPLETE);
--- a/src/main/java/sprucelanding/runtime/server/EndpointDirectory.java
+++ b/src/main/java/sprucelanding/runtime/server/EndpointDirectory.java
@@ -23,6 +23,12 @@
     /** Time for which an endpoint stays in the directory after it was listed as gone. */
     private static final double GONE_RETENTION_MILLIS = 180_000;
 
+    /**
+     * Time for which discovery may be behind what it has told before. If it shows an earlier state
+     * for longer, it has begun anew, and its revisions cannot be compared with the earlier ones.
+     */
+    static final double MAX_DISCOVERY_LAG_MILLIS = 10_000;
+
     private static final int DEFAULT_KIND = 0;
     private static final long NO_REVISION = -1;
 
@@ -88,9 +94,19 @@
         return startTimeConverter.clockErrorMs();
     }
 
+    /** Returns the number of endpoints whose last entry was outdated and has not been applied. */
+    int withheldCount() {
+        int count = 0;
+        for (DiscoveredEndpoint endpoint : endpointsByUid.values()) {
+            count += endpoint.isEntryWithheld() ? 1 : 0;
+        }
+        return count;
+    }
+
     /**
      * Applies a list or changes of it, also to the controller. If a list has malformed entries, its
-     * other entries are applied as changes, so that no known endpoint is lost.
+     * other entries are applied as changes, so that no known endpoint is lost. An entry is withheld
+     * if it shows an earlier state of a process whose end a list of a higher revision has told.
      *
      * @param nowMillis the current time, ms of the controller's clock
      * @return false if some entries were malformed
@@ -105,7 +121,7 @@
         boolean isComplete = true;
         boolean isClockCorrected = false;
         for (JsonValue item : update.entries()) {
-            Optional<DiscoveredEndpoint> endpoint = applyEntry(item);
+            Optional<DiscoveredEndpoint> endpoint = applyEntry(item, update.revision(), nowMillis);
             if (endpoint.isEmpty()) {
                 isComplete = false;
             } else if (listed.add(endpoint.get()) && endpoint.get().hasPendingStart()) {
@@ -124,32 +140,47 @@
         }
         controller.endpointListCompleted();
         if (replacesAll) {
-            markUnlistedGone(listed, nowMillis);
+            markUnlistedGone(listed, update.revision(), nowMillis);
         }
         revision = isComplete ? update.revision() : revision;
         return isComplete;
     }
 
     /** Reads an entry and updates its endpoint; returns nothing if the entry is malformed. */
-    private Optional<DiscoveredEndpoint> applyEntry(JsonValue item) {
+    private Optional<DiscoveredEndpoint> applyEntry(
+            JsonValue item, long listRevision, double nowMillis) {
         Optional<EndpointEntry> parsed = EndpointEntry.parse(item, zones);
         if (parsed.isEmpty()) {
             return Optional.empty();
         }
         EndpointEntry entry = parsed.get();
         DiscoveredEndpoint known = endpointsByUid.get(entry.uid());
+        if (known != null && isOutdated(entry, known, listRevision, nowMillis)) {
+            return Optional.of(known);
+        }
         if (entry.attributes().isPresent()) {
-            return Optional.of(update(known, entry, entry.attributes().get()));
+            return Optional.of(update(known, entry, entry.attributes().get(), listRevision));
         }
         if (known == null) { // without attributes, an unknown endpoint cannot be created
             return Optional.empty();
         }
-        known.setState(entry.state());
+        known.setState(entry.state(), listRevision);
         return Optional.of(known);
     }
 
+    private static boolean isOutdated(
+            EndpointEntry entry, DiscoveredEndpoint known, long listRevision, double nowMillis) {
+        double bootMillis =
+                entry.attributes().map(EndpointEntry.Attributes::bootMillis).orElse(0.0);
+        return known.isAheadOf(entry.state(), bootMillis, listRevision)
+                && nowMillis - known.outdatedEntryListed(nowMillis) < MAX_DISCOVERY_LAG_MILLIS;
+    }
+
     private DiscoveredEndpoint update(
-            DiscoveredEndpoint known, EndpointEntry entry, EndpointEntry.Attributes attributes) {
+            DiscoveredEndpoint known,
+            EndpointEntry entry,
+            EndpointEntry.Attributes attributes,
+            long listRevision) {
         DiscoveredEndpoint endpoint = known == null ? create(entry.uid()) : known;
         endpoint.setLocation(attributes.address(), zones.indexOf(attributes.zone()));
         endpoint.setCapacity(kindIndex(attributes.kind()), attributes.weight());
@@ -158,7 +189,7 @@
         } else {
             endpoint.setBootMillis(attributes.bootMillis());
         }
-        endpoint.setState(entry.state());
+        endpoint.setState(entry.state(), listRevision);
         return endpoint;
     }
 
@@ -219,10 +250,11 @@
                 endpoint.state());
     }
 
-    private void markUnlistedGone(Set<DiscoveredEndpoint> listed, double nowMillis) {
+    private void markUnlistedGone(
+            Set<DiscoveredEndpoint> listed, long listRevision, double nowMillis) {
         for (DiscoveredEndpoint endpoint : endpointsByUid.values()) {
             if (!endpoint.isGone() && !listed.contains(endpoint)) {
-                endpoint.setState(EndpointState.GONE);
+                endpoint.setState(EndpointState.GONE, listRevision);
                 endpoint.setGoneAtMillis(nowMillis);
             }
         }
--- a/src/main/java/sprucelanding/runtime/server/GovernorServer.java
+++ b/src/main/java/sprucelanding/runtime/server/GovernorServer.java
@@ -109,6 +109,11 @@
             return host.applyEndpointList(list, ListOrigin.DISCOVERY);
         }
 
+        @Override
+        public boolean hasWithheldEntries() {
+            return host.hasWithheldEntries();
+        }
+
         @Override
         public long revision() {
             return host.revision();
--- a/src/main/java/sprucelanding/runtime/server/ServerEvent.java
+++ b/src/main/java/sprucelanding/runtime/server/ServerEvent.java
@@ -24,6 +24,8 @@
     DISCOVERY_LIST_INCOMPLETE("discovery_list_incomplete"),
     /** A list could not be applied; the whole list is requested: reason. */
     DISCOVERY_LIST_UNUSABLE("discovery_list_unusable"),
+    /** A list is behind what is known of endpoints that have left: rev, withheld. */
+    DISCOVERY_LIST_OUTDATED("discovery_list_outdated"),
     /** A list was applied: rev, whole, entries, ready. */
     ENDPOINTS_CHANGED("endpoints_changed"),
     /** The machine's wall clock was wrong when the governor started: ahead_ms. */
--- a/src/test/java/sprucelanding/runtime/server/EndpointDirectoryTest.java
+++ b/src/test/java/sprucelanding/runtime/server/EndpointDirectoryTest.java
@@ -157,4 +157,65 @@
         assertNotNull(directory.find("s-1"));
         assertTrue(directory.removeGone(900_000, id -> false));
     }
+
+    /** Guards against an agent that is behind and puts endpoints that left back into the tables. */
+    @Test
+    void olderListDoesNotUndoTheEndOfAnEndpoint() {
+        String ready = ServerHarness.entry("s-1", "ready");
+        applyList(0, ServerHarness.list(41, true, ready, ServerHarness.entry("s-2", "ready")));
+        applyList(1000, ServerHarness.list(42, false, ServerHarness.entry("s-1", "draining")));
+        applyList(1600, ServerHarness.list(41, true, ready, ServerHarness.entry("s-2", "ready")));
+        assertEquals(EndpointState.DRAINING, directory.find("s-1").state());
+        assertEquals(EndpointState.AVAILABLE, directory.find("s-2").state());
+        assertEquals(1, directory.withheldCount());
+        applyList(3800, ServerHarness.list(42, false, ServerHarness.entry("s-1", "draining")));
+        assertEquals(0, directory.withheldCount());
+        applyList(6300, ServerHarness.list(43, false, ServerHarness.entry("s-1", "gone")));
+        applyList(6400, ServerHarness.list(42, false, ServerHarness.entry("s-1", "draining")));
+        assertEquals(EndpointState.GONE, directory.find("s-1").state());
+    }
+
+    /** Guards against a first list that is behind the list of the last run. */
+    @Test
+    void olderListDoesNotUndoWhatTheLastRunKnew() {
+        directory.applyList(
+                Json.parse(ServerHarness.list(42, true, ServerHarness.entry("s-1", "draining")))
+                        .asObject(),
+                ListOrigin.LAST_RUN,
+                0,
+                controller);
+        applyList(100, ServerHarness.list(41, true, ServerHarness.entry("s-1", "ready")));
+        assertEquals(EndpointState.DRAINING, directory.find("s-1").state());
+    }
+
+    /** Guards against endpoints that stay out because revisions are lower than earlier ones. */
+    @Test
+    void newProcessAndLaterRevisionReturnToService() {
+        applyList(0, ServerHarness.list(41, true, startedEntry("s-1", 5), startedEntry("s-2", 5)));
+        applyList(1000, ServerHarness.list(42, true));
+        applyList(2000, ServerHarness.list(7, false, startedEntry("s-1", 6)));
+        applyList(3000, ServerHarness.list(43, false, startedEntry("s-2", 5)));
+        assertEquals(EndpointState.AVAILABLE, directory.find("s-1").state());
+        assertEquals(EndpointState.AVAILABLE, directory.find("s-2").state());
+    }
+
+    /** Guards against a governor without a list after discovery has begun anew. */
+    @Test
+    void listOfADiscoveryThatBeganAnewIsAppliedInTheEnd() {
+        applyList(0, ServerHarness.list(41, true, ServerHarness.entry("s-1", "ready")));
+        applyList(1000, ServerHarness.list(42, false, ServerHarness.entry("s-1", "gone")));
+        String anew =
+                ServerHarness.list(
+                        1,
+                        true,
+                        ServerHarness.entry("s-1", "ready"),
+                        ServerHarness.entry("s-3", "ready"));
+        applyList(2000, anew);
+        assertEquals(EndpointState.GONE, directory.find("s-1").state());
+        assertEquals(EndpointState.AVAILABLE, directory.find("s-3").state());
+        applyList(2000 + EndpointDirectory.MAX_DISCOVERY_LAG_MILLIS, anew);
+        assertEquals(EndpointState.AVAILABLE, directory.find("s-1").state());
+        applyList(30_000, ServerHarness.list(2, false, ServerHarness.entry("s-1", "gone")));
+        assertEquals(EndpointState.GONE, directory.find("s-1").state());
+    }
 }
