--- a/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
+++ b/src/test/java/sprucelanding/control/decision/SpoiltFiguresTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Figures that are out of range never enter the state of the decisions. */
@@ -42,6 +43,51 @@
         assertEquals(1, host.admittedByClass.get(1), "the class with more revenue is admitted");
     }
 
+    /** Guards against levels that follow a usage report whose figures are out of range. */
+    @ParameterizedTest
+    @CsvSource({"8, 6.9e-310", "-5000, 1000", "2147483647, 1", "8, Infinity", "8, NaN", "8, -1"})
+    void demandReportOutOfRangeChangesNoDecision(int count, double intervalMs) {
+        FakeControllerHost host = hostWithOwnZoneClass();
+        FakeControllerHost undisturbed = hostWithOwnZoneClass();
+        for (FakeControllerHost each : List.of(host, undisturbed)) {
+            each.runSeconds(6, () -> each.reportHealthy(ENDPOINTS, 0.8, 10));
+        }
+        host.controller.demandReported(9, 0, count, intervalMs);
+        for (FakeControllerHost each : List.of(host, undisturbed)) {
+            each.runSeconds(4, () -> each.reportHealthy(ENDPOINTS, 0.8, 10));
+        }
+        assertTrue(undisturbed.admittedByClass.get(0) < 1, "requests are shed");
+        assertEquals(undisturbed.admittedByClass, host.admittedByClass);
+        assertEquals(undisturbed.orders, host.orders);
+    }
+
+    /** Guards against a level of NaN after hundreds of endpoints have left within a moment. */
+    @Test
+    void manyLoadChangesAtOnceLeaveTheAdmittedSharesFinite() {
+        RequestClass requestClass = FakeControllerHost.requestClass(0, true, 1);
+        EventTime time = new EventTime();
+        AdmissionController admission =
+                new AdmissionController(time, new RequestClass[] {requestClass});
+        List<Proxy> proxies = List.of(new Proxy(1, 0, true, 0, 100, 1));
+        for (int update = 0; update < 6; update++) {
+            time.updateStarted();
+            admission.update(proxies, 0.9, 200, 0);
+        }
+        for (int left = 0; left < 400; left++) {
+            admission.expectLoadChange(1);
+        }
+        for (int update = 0; update < 6; update++) {
+            admission.update(proxies, 0, 200, 0);
+            assertTrue(requestClass.admittedShare() > 0 && requestClass.admittedShare() <= 1);
+        }
+        for (int joined = 0; joined < 1200; joined++) {
+            admission.expectLoadChange(-1);
+        }
+        admission.update(proxies, 0.9, 200, 0);
+        assertTrue(requestClass.admittedShare() > 0 && requestClass.admittedShare() <= 1);
+        assertEquals(List.of(), StateFigures.invalidFiguresOf(admission));
+    }
+
     /** Guards against a governor that hangs when an idle proxy returns under load. */
     @Test
     void returnOfAnIdleProxyUnderLoadLeavesTheAdmittedSharesFinite() {
