One class forwards a controller's orders to the distributor

OrderForwarder and the fleet of MessageLimitTest had the same seven methods. Updates at sites without a limit of messages are booked without a copy of the receivers.

--- a/src/main/java/sprucelanding/control/decision/ChannelBudget.java
+++ b/src/main/java/sprucelanding/control/decision/ChannelBudget.java
@@ -226,7 +226,7 @@
             return true;
         }
         Collection<Proxy> receivers = proxies;
-        if (held.isEnabled()) {
+        if (held.isEnabled() && hasMessageLimit()) {
             receivers = proxies.stream().filter(proxy -> pacing.allows(proxy, priority)).toList();
         }
         if (receivers.isEmpty() || !hasRoom(receivers, entries, priority)) {
--- a/src/test/java/sprucelanding/control/distribution/LimitedFleet.java
+++ b/src/test/java/sprucelanding/control/distribution/LimitedFleet.java
@@ -12,12 +12,10 @@
 import java.util.TreeMap;
 import java.util.function.IntPredicate;
 import sprucelanding.control.decision.AdmissionMode;
-import sprucelanding.control.decision.ControllerOutput;
 import sprucelanding.control.decision.DecisionEvent;
 import sprucelanding.control.decision.Endpoint;
 import sprucelanding.control.decision.EndpointState;
 import sprucelanding.control.decision.HealthCheckResult;
-import sprucelanding.control.decision.Proxy;
 import sprucelanding.control.decision.RequestClass;
 import sprucelanding.control.decision.RoutingController;
 
@@ -26,7 +24,7 @@
  * rate of the channel, arrive after a random transit time and are acknowledged. The fleet checks
  * the limit of messages and the drain grace; the violations are collected as texts.
  */
-final class LimitedFleet implements ControllerOutput {
+final class LimitedFleet extends DistributorOutput {
     /** Period in which the messages to a proxy are counted, ms. */
     static final double SPAN_MS = 10_000;
 
@@ -91,6 +89,18 @@
     private int mostMessages;
 
     LimitedFleet(Site site, long seed) {
+        this(
+                site,
+                seed,
+                new TableDistributor(
+                        site.isOwnZoneOnly.length,
+                        Endpoint::mayBeEjectedElsewhere,
+                        Endpoint::isAvailable));
+    }
+
+    private LimitedFleet(Site site, long seed, TableDistributor distributor) {
+        super(distributor);
+        this.distributor = distributor;
         this.site = site;
         random = new SplittableRandom(seed);
         int classes = site.isOwnZoneOnly.length;
@@ -109,9 +119,6 @@
         controller =
                 new RoutingController(
                         new SplittableRandom(seed), requestClasses, ZONES, AdmissionMode.SHARE);
-        distributor =
-                new TableDistributor(
-                        classes, Endpoint::mayBeEjectedElsewhere, Endpoint::isAvailable);
         configure();
         for (long id = 1; id <= site.endpoints; id++) {
             zones.put(id, (int) (id % ZONES));
@@ -331,43 +338,7 @@
         }
     }
 
-    // Orders of the controller.
-
-    @Override
-    public void setWeight(int table, Endpoint endpoint, double weight) {
-        distributor.setWeight(table, endpoint, weight);
-    }
-
-    @Override
-    public void clearTable(int table) {
-        distributor.clearTable(table);
-    }
-
-    @Override
-    public void setEjected(Endpoint endpoint, boolean ejected) {
-        distributor.setEjected(endpoint, ejected);
-    }
-
-    @Override
-    public void restoreAt(Endpoint endpoint, Collection<Proxy> restored) {
-        distributor.restoreAt(endpoint, restored);
-    }
-
-    @Override
-    public void setAdmission(
-            int table, RequestClass requestClass, double admitted, int retryPolicy) {
-        distributor.setAdmission(table, requestClass, admitted, retryPolicy);
-    }
-
-    @Override
-    public void bindProxy(int table, Proxy proxy, BitSet requestClasses) {
-        distributor.bindProxy(table, proxy, requestClasses);
-    }
-
-    @Override
-    public void requestAcknowledgement(int acknowledgement) {
-        distributor.requestAcknowledgement(acknowledgement);
-    }
+    // Orders of the controller that do not concern tables.
 
     @Override
     public void checkHealth(Endpoint endpoint) {
